--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# `make check` and `make demo` are the two commands of the README; both work on a fresh Debian machine.
+BUILD ?= build
+PACKAGES = g++ cmake ninja-build ccache pkg-config clang-format clang-tidy make curl \
+  libabsl-dev libnghttp2-dev libboost-dev libcpp-httplib-dev libgflags-dev libfmt-dev doctest-dev \
+  librapidcheck-dev nlohmann-json3-dev libyaml-cpp-dev libssl-dev
+
+.PHONY: deps build test format format-check lint check demo
+
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -q && apt-get install -y -q --no-install-recommends $(PACKAGES))
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD)
+
+test: build
+	cd $(BUILD) && ctest --output-on-failure -j 5
+
+format:
+	git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs clang-format -i
+
+format-check: deps
+	git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs clang-format --dry-run --Werror
+
+lint: build
+	git ls-files -co --exclude-standard '*.cpp' | xargs -P 8 -n 1 clang-tidy -p $(BUILD) --quiet
+
+check: format-check lint test
--- /dev/null
+++ b/packages/base/test/BaseTest.cpp
@@ -0,0 +1,48 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "turmericdyke/Base"
+
+using namespace turmericdyke;
+
+TEST_CASE(
+    "a key hash accepts its own key only, also after it was written and read") {
+  KeyHash Hash = KeyHash::make("key-1", "0123456789abcdef");
+  std::optional<KeyHash> Read = KeyHash::parse(Hash.text());
+  REQUIRE(Read.has_value());
+  CHECK(Read->matches("key-1"));
+  CHECK_FALSE(Read->matches("key-2"));
+  CHECK_FALSE(Read->matches(""));
+}
+
+TEST_CASE(
+    "malformed key hashes are refused instead of matching an empty digest") {
+  CHECK_FALSE(KeyHash::parse("").has_value());
+  CHECK_FALSE(KeyHash::parse("sha256::").has_value());
+  CHECK_FALSE(KeyHash::parse("sha256:00:zz").has_value());
+  CHECK_FALSE(KeyHash::parse("md5:00:00").has_value());
+}
+
+TEST_CASE("CRC-32C has the published check value") {
+  CHECK(crc32c("123456789") == 0xE3069283u);
+}
+
+TEST_CASE("any text parses as a key hash or is refused, without a crash") {
+  CHECK(rc::check([](const std::string &Text) { (void)KeyHash::parse(Text); }));
+}
+
+TEST_CASE("metrics keep series with different labels apart and write "
+          "cumulative buckets") {
+  MetricsRegistry Metrics;
+  Metrics.increment("refused_total", {{"customer", "a"}});
+  Metrics.increment("refused_total", {{"customer", "b"}}, 2);
+  Metrics.observe("wait_seconds", 0.5, {{"customer", "a"}});
+  Metrics.observe("wait_seconds", 5000, {{"customer", "a"}});
+  CHECK(Metrics.value("refused_total", {{"customer", "a"}}) == 1);
+  std::string Text = Metrics.prometheusText();
+  CHECK(Text.find("refused_total{customer=\"b\"} 2\n") != std::string::npos);
+  CHECK(Text.find("wait_seconds_bucket{customer=\"a\",le=\"+Inf\"} 2\n") !=
+        std::string::npos);
+  CHECK(Text.find("wait_seconds_bucket{customer=\"a\",le=\"1000\"} 1\n") !=
+        std::string::npos);
+}
--- /dev/null
+++ b/packages/base/turmericdyke/src/Base/LogLine.cpp
@@ -0,0 +1,63 @@
+#include "turmericdyke/src/Base/LogLine.h"
+
+#include <atomic>
+#include <cstdio>
+
+#include "absl/strings/escaping.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
+
+namespace turmericdyke {
+
+namespace internal {
+
+std::atomic<LogLevel> LeastLevel{LogLevel::Info};
+
+std::string_view levelName(LogLevel Level) {
+  constexpr std::string_view Names[] = {"debug", "info", "warning", "error"};
+  return Names[static_cast<int>(Level)];
+}
+
+bool needsQuotes(std::string_view Value) {
+  if (Value.empty())
+    return true;
+  for (char C : Value)
+    if (C <= ' ' || C == '"' || C == '=' || C == '\\' || C == 0x7f)
+      return true;
+  return false;
+}
+
+} // namespace internal
+
+void setLogLevel(LogLevel Level) { internal::LeastLevel = Level; }
+
+LogLine::LogLine(LogLevel Level, std::string_view Event)
+    : m_enabled(Level >= internal::LeastLevel.load()) {
+  if (!m_enabled)
+    return;
+  std::string Time = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(),
+                                      absl::UTCTimeZone());
+  m_text = fmt::format("time={} level={} event={}", Time,
+                       internal::levelName(Level), Event);
+}
+
+LogLine::~LogLine() {
+  if (!m_enabled)
+    return;
+  m_text.push_back('\n');
+  // One call a line keeps lines of different threads whole.
+  std::fwrite(m_text.data(), 1, m_text.size(), stderr);
+}
+
+LogLine &LogLine::field(std::string_view Key, std::string_view Value) {
+  if (!m_enabled)
+    return *this;
+  if (internal::needsQuotes(Value))
+    m_text += fmt::format(" {}=\"{}\"", Key,
+                          absl::CHexEscape({Value.data(), Value.size()}));
+  else
+    m_text += fmt::format(" {}={}", Key, Value);
+  return *this;
+}
+
+} // namespace turmericdyke
