Add the request path as a single node with in-memory control

requests: one attempt as a pure state machine that ends exactly once, an event stream parser, the retry budget and the retry decision. edge: ports for callers, targets and operators. standin: targets for tests. node: checked settings and the process. The control side keeps its state in memory and forms replicas first-fit, until the replicated log takes its place.

--- /dev/null
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
@@ -0,0 +1,297 @@
+#include "turmericdyke/src/Edge/CallerServer.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Edge/ConnectionThreads.h"
+
+namespace turmericdyke {
+
+namespace internal {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr absl::Duration RetryWithoutLease = absl::Seconds(1);
+constexpr absl::Duration RetryWithoutReplica = absl::Seconds(2);
+
+std::string bearerKey(const httplib::Request &Request) {
+  std::string Value = Request.get_header_value("Authorization");
+  return Value.rfind(BearerPrefix, 0) == 0 ? Value.substr(BearerPrefix.size())
+                                           : "";
+}
+
+/// The error that a caller sees for a failed attempt of a completion.
+ErrorReply errorOf(const AttemptResult &Result) {
+  ErrorReply Reply;
+  Reply.m_outcome = Result.outcome();
+  Reply.m_type = nameOf(Result.m_end);
+  switch (Result.m_end) {
+  case AttemptEnd::ConnectFailed:
+  case AttemptEnd::RefusedByTarget:
+    Reply.m_status = 503;
+    Reply.m_message = "no replica took the request";
+    Reply.m_retryAfter = RetryWithoutReplica;
+    break;
+  case AttemptEnd::TimedOut:
+    Reply.m_status = 504;
+    Reply.m_message = "the answer did not come in time";
+    break;
+  case AttemptEnd::TargetError:
+    Reply.m_status = Result.m_status < 500 ? Result.m_status : 502;
+    Reply.m_message = "the target answered with an error";
+    break;
+  default:
+    Reply.m_status = 502;
+    Reply.m_message = "the answer of the target was not complete";
+    break;
+  }
+  return Reply;
+}
+
+std::optional<ErrorReply> checkCompletionBody(const Json &Body) {
+  ErrorReply Reply;
+  Reply.m_status = 400;
+  Reply.m_type = "invalid_request";
+  if (!Body.is_object())
+    Reply.m_message = "the body is not a JSON object";
+  else if (Body.contains("stream") && !Body["stream"].is_boolean())
+    Reply.m_message = "stream is neither true nor false";
+  else if (Body.contains("max_tokens") &&
+           !Body["max_tokens"].is_number_unsigned())
+    Reply.m_message = "max_tokens is not a whole number of 0 or more";
+  else
+    return std::nullopt;
+  return Reply;
+}
+
+} // namespace internal
+
+CallerServer::CallerServer(EdgeServices &Services, CallerOptions Options)
+    : m_services(Services), m_options(std::move(Options)) {
+  m_server.new_task_queue = [Max = m_options.m_maxConnections] {
+    return new ConnectionThreads(Max);
+  };
+  m_server.set_payload_max_length(m_options.m_maxBodyBytes);
+  m_server.set_read_timeout(
+      absl::ToChronoMilliseconds(m_options.m_readTimeout));
+  m_server.set_write_timeout(
+      absl::ToChronoMilliseconds(m_options.m_writeTimeout));
+  m_server.set_tcp_nodelay(true);
+  addRoutes();
+}
+
+CallerServer::~CallerServer() { stop(); }
+
+bool CallerServer::start() {
+  if (m_options.m_port == 0)
+    m_port = m_server.bind_to_any_port(m_options.m_host.c_str());
+  else
+    m_port = m_server.bind_to_port(m_options.m_host.c_str(), m_options.m_port)
+                 ? m_options.m_port
+                 : -1;
+  if (m_port <= 0)
+    return false;
+  m_thread = std::thread([this] { m_server.listen_after_bind(); });
+  return true;
+}
+
+void CallerServer::stop() {
+  if (!m_thread.joinable())
+    return;
+  m_server.stop();
+  m_thread.join();
+}
+
+void CallerServer::addRoutes() {
+  auto Completion = [this](const auto &Request, auto &Response) {
+    onCompletion(Request, Response);
+  };
+  m_server.Post("/v1/chat/completions", Completion);
+  m_server.Post("/v1/completions", Completion);
+  m_server.Get("/v1/models", [this](const auto &Request, auto &Response) {
+    onModels(Request, Response);
+  });
+  m_server.Get("/healthz", [](const auto &, auto &Response) {
+    Response.set_content("ok\n", "text/plain");
+  });
+  m_server.Get("/readyz", [this](const auto &, auto &Response) {
+    bool Ready =
+        !m_draining && monotonicNow() < m_services.m_views.get()->m_leaseUntil;
+    Response.status = Ready ? 200 : 503;
+    Response.set_content(Ready ? "ready\n" : "not ready\n", "text/plain");
+  });
+  m_server.Get("/metrics", [this](const auto &, auto &Response) {
+    Response.set_content(m_services.m_metrics.prometheusText(),
+                         "text/plain; version=0.0.4");
+  });
+}
+
+std::shared_ptr<const KeyTable> CallerServer::keysOf(const ClusterView &View) {
+  absl::MutexLock Lock(&m_keysLock);
+  if (m_keysSource != View.m_declaration) {
+    m_keys = std::make_shared<KeyTable>(*View.m_declaration);
+    m_keysSource = View.m_declaration;
+  }
+  return m_keys;
+}
+
+void CallerServer::refuse(const ErrorReply &Reply, const RequestId &Id,
+                          const CustomerId &Customer,
+                          httplib::Response &Response) {
+  m_services.m_metrics.increment(
+      "turmericdyke_refusals_total",
+      {{"customer", Customer.str()}, {"reason", Reply.m_type}});
+  LogLine(LogLevel::Info, "request_refused")
+      .field("request", Id)
+      .field("customer", Customer)
+      .field("reason", Reply.m_type)
+      .field("outcome", nameOf(Reply.m_outcome));
+  writeError(Reply, Id, Response);
+}
+
+std::optional<CallerServer::Authenticated>
+CallerServer::authenticate(const httplib::Request &Request, const RequestId &Id,
+                           httplib::Response &Response) {
+  Authenticated Caller;
+  Caller.m_view = m_services.m_views.get();
+  if (monotonicNow() >= Caller.m_view->m_leaseUntil) {
+    refuse({503, "no_lease", "this node does not know the newest revision",
+            Outcome::NotRun, internal::RetryWithoutLease},
+           Id, CustomerId(), Response);
+    return std::nullopt;
+  }
+  std::optional<CustomerId> Customer =
+      keysOf(*Caller.m_view)->customerOf(internal::bearerKey(Request));
+  if (!Customer) {
+    refuse({401, "unknown_key", "the bearer key belongs to no customer",
+            Outcome::NotRun, std::nullopt},
+           Id, CustomerId(), Response);
+    return std::nullopt;
+  }
+  Caller.m_customer = *Customer;
+  return Caller;
+}
+
+void CallerServer::onModels(const httplib::Request &Request,
+                            httplib::Response &Response) {
+  RequestId Id(m_services.nextId());
+  std::optional<Authenticated> Caller = authenticate(Request, Id, Response);
+  if (!Caller)
+    return;
+  const Customer &Owner =
+      Caller->m_view->m_declaration->m_customers.at(Caller->m_customer);
+  internal::Json Model = {{"id", Owner.m_resolved.m_model},
+                          {"object", "model"},
+                          {"owned_by", "turmericdyke"}};
+  Response.set_content(internal::Json{{"object", "list"},
+                                      {"data", internal::Json::array({Model})}}
+                           .dump(),
+                       "application/json");
+}
+
+void CallerServer::onCompletion(const httplib::Request &Request,
+                                httplib::Response &Response) {
+  Instant Now = monotonicNow();
+  RequestId Id(m_services.nextId());
+  std::optional<Authenticated> Caller = authenticate(Request, Id, Response);
+  if (!Caller)
+    return;
+  internal::Json Body = internal::Json::parse(Request.body, nullptr, false);
+  if (std::optional<ErrorReply> Invalid = internal::checkCompletionBody(Body))
+    return refuse(*Invalid, Id, Caller->m_customer, Response);
+  const Customer &Owner =
+      Caller->m_view->m_declaration->m_customers.at(Caller->m_customer);
+  CompletionCall Call;
+  Call.m_request = Id;
+  Call.m_customer = Caller->m_customer;
+  Call.m_pool = poolName(Owner.m_resolved);
+  Call.m_rank = Owner.m_rank;
+  Call.m_path = Request.path;
+  Call.m_body = Request.body;
+  Call.m_stream = Body.value("stream", false);
+  Call.m_received = Now;
+  Call.m_firstTokenBy = Now + Owner.m_firstTokenDeadline;
+  Call.m_deadline = Now + Owner.m_deadline;
+  auto Running = std::shared_ptr<Exchange>(
+      new Exchange(m_services, std::move(Call)), [this](Exchange *Done) {
+        delete Done;
+        --m_inFlight;
+      });
+  ++m_inFlight;
+  // The handler cannot watch the caller's socket; a streaming caller is watched
+  // once its stream has begun.
+  ExchangeStep First = Running->next([] { return true; });
+  if (First.m_end)
+    return answerWhole(*Running, First, Response);
+  answerStream(std::move(Running), std::move(First), Response);
+}
+
+void CallerServer::answerWhole(Exchange &Running, const ExchangeStep &Last,
+                               httplib::Response &Response) {
+  noteEnd(Running, *Last.m_end);
+  if (Last.m_end->m_end != AttemptEnd::Complete)
+    return refuse(internal::errorOf(*Last.m_end), Running.call().m_request,
+                  Running.call().m_customer, Response);
+  Response.set_header("X-Turmericdyke-Outcome", "ran");
+  Response.set_header("X-Turmericdyke-Request", Running.call().m_request.str());
+  if (Running.call().m_stream)
+    Response.set_content(Last.m_forward, "text/event-stream");
+  else
+    Response.set_content(Running.body(), "application/json");
+}
+
+void CallerServer::answerStream(std::shared_ptr<Exchange> Running,
+                                ExchangeStep First,
+                                httplib::Response &Response) {
+  Response.set_header("X-Turmericdyke-Request",
+                      Running->call().m_request.str());
+  auto Step = std::make_shared<ExchangeStep>(std::move(First));
+  Response.set_chunked_content_provider(
+      "text/event-stream",
+      [this, Running, Step](std::size_t, httplib::DataSink &Sink) {
+        return writeStream(*Running, std::move(*Step), Sink);
+      });
+}
+
+bool CallerServer::writeStream(Exchange &Running, ExchangeStep Step,
+                               httplib::DataSink &Sink) {
+  for (;;) {
+    if (!Step.m_forward.empty() &&
+        !Sink.write(Step.m_forward.data(), Step.m_forward.size()))
+      return false;
+    if (Step.m_end)
+      break;
+    Step = Running.next([&Sink] { return Sink.is_writable(); });
+  }
+  noteEnd(Running, *Step.m_end);
+  if (Step.m_end->m_end != AttemptEnd::Complete) {
+    // No `[DONE]` follows, so the caller cannot take the answer for a whole
+    // one.
+    std::string Event = fmt::format(
+        "event: error\ndata: {}\n\n",
+        errorBody(internal::errorOf(*Step.m_end), Running.call().m_request));
+    Sink.write(Event.data(), Event.size());
+  }
+  Sink.done();
+  return true;
+}
+
+void CallerServer::noteEnd(const Exchange &Running,
+                           const AttemptResult &Result) {
+  const CompletionCall &Call = Running.call();
+  double Seconds = absl::ToDoubleSeconds(monotonicNow() - Call.m_received);
+  m_services.m_metrics.observe("turmericdyke_request_seconds", Seconds,
+                               {{"customer", Call.m_customer.str()}});
+  LogLine(LogLevel::Info, "request_ended")
+      .field("request", Call.m_request)
+      .field("customer", Call.m_customer)
+      .field("end", nameOf(Result.m_end))
+      .field("outcome", nameOf(Result.outcome()))
+      .field("attempts", Running.attempts())
+      .field("tokens", Result.m_tokens)
+      .field("ms", absl::ToInt64Milliseconds(monotonicNow() - Call.m_received));
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include <httplib.h>
+
+#include "absl/synchronization/mutex.h"
+#include "turmericdyke/src/Edge/EdgeServices.h"
+#include "turmericdyke/src/Edge/Exchange.h"
+#include "turmericdyke/src/Edge/KeyTable.h"
+#include "turmericdyke/src/Edge/Replies.h"
+
+namespace turmericdyke {
+
+struct CallerOptions {
+  std::string m_host = "127.0.0.1";
+  int m_port = 0;
+  std::size_t m_maxConnections = 1024;
+  std::size_t m_maxBodyBytes = 8 << 20;
+  absl::Duration m_readTimeout = absl::Seconds(10);
+  absl::Duration m_writeTimeout = absl::Seconds(10);
+};
+
+/// The HTTP port for callers: completions, models, plain services, health and
+/// metrics.
+class CallerServer {
+public:
+  CallerServer(EdgeServices &Services, CallerOptions Options);
+  ~CallerServer();
+
+  /// Binds the port; false when it cannot be bound.
+  bool start();
+  int port() const { return m_port; }
+  /// From now on `/readyz` fails, while requests are still served.
+  void startDraining() { m_draining = true; }
+  std::int64_t inFlight() const { return m_inFlight; }
+  /// Closes the port and cuts off what is still running.
+  void stop();
+
+private:
+  struct Authenticated {
+    std::shared_ptr<const ClusterView> m_view;
+    CustomerId m_customer;
+  };
+
+  void addRoutes();
+  void onCompletion(const httplib::Request &Request,
+                    httplib::Response &Response);
+  void answerStream(std::shared_ptr<Exchange> Running, ExchangeStep First,
+                    httplib::Response &Response);
+  void answerWhole(Exchange &Running, const ExchangeStep &Last,
+                   httplib::Response &Response);
+  bool writeStream(Exchange &Running, ExchangeStep Step,
+                   httplib::DataSink &Sink);
+  void onModels(const httplib::Request &Request, httplib::Response &Response);
+  std::optional<Authenticated> authenticate(const httplib::Request &Request,
+                                            const RequestId &Id,
+                                            httplib::Response &Response);
+  std::shared_ptr<const KeyTable> keysOf(const ClusterView &View);
+  void refuse(const ErrorReply &Reply, const RequestId &Id,
+              const CustomerId &Customer, httplib::Response &Response);
+  void noteEnd(const Exchange &Running, const AttemptResult &Result);
+
+  EdgeServices &m_services;
+  CallerOptions m_options;
+  httplib::Server m_server;
+  std::thread m_thread;
+  int m_port = 0;
+  std::atomic<bool> m_draining{false};
+  std::atomic<std::int64_t> m_inFlight{0};
+  absl::Mutex m_keysLock;
+  std::shared_ptr<const KeyTable> m_keys ABSL_GUARDED_BY(m_keysLock);
+  std::shared_ptr<const Declaration> m_keysSource ABSL_GUARDED_BY(m_keysLock);
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/edge/turmericdyke/src/Edge/ClusterView.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Declaration/Declaration.h"
+#include "turmericdyke/src/Fleet/TargetAnnouncement.h"
+
+namespace turmericdyke {
+
+/// A complete and current replica that may take work.
+struct ServingReplica {
+  ReplicaId m_replica;
+  std::uint64_t m_generation = 0;
+  /// IP:port of the head member.
+  std::string m_headAddress;
+  TargetId m_head;
+  std::int64_t m_slots = 0;
+  TargetLoad m_load;
+  /// When the load was reported, by this process's clock.
+  Instant m_loadTime;
+  std::vector<CacheEvent> m_cacheEvents;
+};
+
+/// A plain service target that may take calls.
+struct ServiceEndpoint {
+  TargetId m_target;
+  std::uint64_t m_incarnation = 0;
+  std::string m_address;
+};
+
+/// What request threads read: an immutable snapshot that the control thread
+/// publishes.
+struct ClusterView {
+  std::uint64_t m_revision = 0;
+  std::shared_ptr<const Declaration> m_declaration =
+      std::make_shared<Declaration>();
+  /// New work is accepted only before this time, see the read lease in the
+  /// design.
+  Instant m_leaseUntil = absl::InfinitePast();
+  std::map<std::string, std::vector<ServingReplica>> m_pools;
+  std::map<ServiceId, std::vector<ServiceEndpoint>> m_services;
+};
+
+/// Holds the newest view. The lock covers the exchange of a pointer only.
+class ViewHolder {
+public:
+  std::shared_ptr<const ClusterView> get() const;
+  void set(std::shared_ptr<const ClusterView> View);
+
+private:
+  mutable absl::Mutex m_lock;
+  std::shared_ptr<const ClusterView>
+      m_view ABSL_GUARDED_BY(m_lock) = std::make_shared<ClusterView>();
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/edge/turmericdyke/src/Edge/ConnectionThreads.cpp
@@ -0,0 +1,50 @@
+#include "turmericdyke/src/Edge/ConnectionThreads.h"
+
+#include <cassert>
+
+namespace turmericdyke {
+
+ConnectionThreads::ConnectionThreads(std::size_t MaxThreads)
+    : m_maxThreads(MaxThreads) {
+  assert(MaxThreads > 0 && "a port needs at least one thread");
+}
+
+ConnectionThreads::~ConnectionThreads() { shutdown(); }
+
+void ConnectionThreads::enqueue(std::function<void()> Task) {
+  absl::MutexLock Lock(&m_lock);
+  m_tasks.push_back(std::move(Task));
+  if (m_idle < m_tasks.size() && m_threads.size() < m_maxThreads)
+    m_threads.emplace_back([this] { serve(); });
+}
+
+void ConnectionThreads::shutdown() {
+  std::vector<std::thread> Threads;
+  {
+    absl::MutexLock Lock(&m_lock);
+    m_stopped = true;
+    Threads.swap(m_threads);
+  }
+  for (std::thread &Thread : Threads)
+    Thread.join();
+}
+
+void ConnectionThreads::serve() {
+  for (;;) {
+    std::function<void()> Task;
+    {
+      absl::MutexLock Lock(&m_lock);
+      ++m_idle;
+      m_lock.Await(absl::Condition(this, &ConnectionThreads::hasWork));
+      --m_idle;
+      // Connections that were accepted before the stop are still served.
+      if (m_tasks.empty())
+        return;
+      Task = std::move(m_tasks.front());
+      m_tasks.pop_front();
+    }
+    Task();
+  }
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/edge/turmericdyke/src/Edge/ConnectionThreads.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include <httplib.h>
+
+#include "absl/synchronization/mutex.h"
+
+namespace turmericdyke {
+
+/// The threads that serve the connections of one HTTP port, one a connection.
+/// Threads start on demand up to a limit and are kept. Connections beyond the
+/// limit wait for a free thread.
+class ConnectionThreads : public httplib::TaskQueue {
+public:
+  explicit ConnectionThreads(std::size_t MaxThreads);
+  ~ConnectionThreads() override;
+
+  void enqueue(std::function<void()> Task) override;
+  void shutdown() override;
+
+private:
+  void serve();
+  bool hasWork() const ABSL_SHARED_LOCKS_REQUIRED(m_lock) {
+    return m_stopped || !m_tasks.empty();
+  }
+
+  std::size_t m_maxThreads;
+  absl::Mutex m_lock;
+  std::deque<std::function<void()>> m_tasks ABSL_GUARDED_BY(m_lock);
+  std::vector<std::thread> m_threads ABSL_GUARDED_BY(m_lock);
+  std::size_t m_idle ABSL_GUARDED_BY(m_lock) = 0;
+  bool m_stopped ABSL_GUARDED_BY(m_lock) = false;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/edge/turmericdyke/src/Edge/EdgeServices.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/random/random.h"
+#include "absl/synchronization/mutex.h"
+#include "turmericdyke/src/Base/Metrics.h"
+#include "turmericdyke/src/Edge/ClusterView.h"
+#include "turmericdyke/src/Edge/ReplicaRouter.h"
+#include "turmericdyke/src/Requests/RetryBudget.h"
+
+namespace turmericdyke {
+
+/// What all request threads of a node share. Each part has its own locks.
+struct EdgeServices {
+  MetricsRegistry m_metrics;
+  ViewHolder m_views;
+  ReplicaRouter m_router;
+  /// This node's name and the number drawn at its start; they make request
+  /// identifiers unique.
+  NodeId m_node;
+  std::uint64_t m_incarnation = 0;
+
+  /// A new identifier `NODE-INCARNATION-COUNT`.
+  std::string nextId();
+
+  /// Counts a request of the pool for its retry budget.
+  void onRequest(const std::string &Pool);
+  /// Runs `Use` on the pool's retry budget under its lock.
+  template <class Function>
+  auto withBudget(const std::string &Pool, Function &&Use) {
+    absl::MutexLock Lock(&m_budgetLock);
+    return Use(m_budgets[Pool], m_random);
+  }
+
+private:
+  std::atomic<std::uint64_t> m_nextId{1};
+  absl::Mutex m_budgetLock;
+  std::map<std::string, RetryBudget> m_budgets ABSL_GUARDED_BY(m_budgetLock);
+  absl::BitGen m_random ABSL_GUARDED_BY(m_budgetLock);
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Edge/ClusterView.h"
+#include "turmericdyke/src/Requests/AttemptMachine.h"
+#include "turmericdyke/src/Requests/RetryPolicy.h"
+
+namespace turmericdyke {
+
+struct EdgeServices;
+class TargetConnection;
+
+/// One accepted completion request on its way through attempts.
+struct CompletionCall {
+  RequestId m_request;
+  CustomerId m_customer;
+  std::string m_pool;
+  std::int64_t m_rank = 0;
+  std::string m_path;
+  std::string m_body;
+  bool m_stream = false;
+  Instant m_received;
+  Instant m_firstTokenBy;
+  Instant m_deadline;
+};
+
+/// What the exchange has for the caller next: bytes to hand on, or the end.
+struct ExchangeStep {
+  std::string m_forward;
+  std::optional<AttemptResult> m_end;
+};
+
+/// Runs the attempts of one completion request, with retries, and hands on its
+/// answer. Used by the thread of the caller's connection only.
+class Exchange {
+public:
+  Exchange(EdgeServices &Services, CompletionCall Call);
+  /// Cancels a running attempt.
+  ~Exchange();
+
+  /// Waits for the next bytes or the end. `CallerAlive` is asked while the
+  /// target is silent.
+  ExchangeStep next(const std::function<bool()> &CallerAlive);
+  /// Body of a complete answer that is not streamed.
+  const std::string &body() const;
+  std::int64_t attempts() const { return m_attempts; }
+  const CompletionCall &call() const { return m_call; }
+
+private:
+  bool startAttempt();
+  AttemptActions waitForEvent(const std::function<bool()> &CallerAlive);
+  void finishAttempt(const AttemptActions &Actions);
+  void cancelAtTarget();
+  void noteProgress(const std::string &Bytes);
+  bool retry(const AttemptResult &Result);
+
+  EdgeServices &m_services;
+  CompletionCall m_call;
+  std::int64_t m_attempts = 0;
+  std::set<ReplicaId> m_failed;
+  std::optional<ServingReplica> m_replica;
+  AttemptId m_attempt;
+  std::unique_ptr<AttemptMachine> m_machine;
+  std::unique_ptr<TargetConnection> m_connection;
+  /// Reported when no replica is left to try.
+  AttemptResult m_lastResult{AttemptEnd::ConnectFailed, 0, false, false, 0};
+  std::optional<Instant> m_firstToken;
+  Instant m_lastToken;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/requests/turmericdyke/src/Requests/AttemptMachine.cpp
@@ -0,0 +1,143 @@
+#include "turmericdyke/src/Requests/AttemptMachine.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace turmericdyke {
+
+namespace internal {
+
+constexpr int FirstErrorStatus = 400;
+
+} // namespace internal
+
+AttemptMachine::AttemptMachine(AttemptId Attempt, AnswerShape Shape,
+                               const AttemptLimits &Limits, Instant Start)
+    : m_attempt(std::move(Attempt)), m_shape(Shape), m_limits(Limits),
+      m_parser(Limits.m_eventBytes), m_lastProgress(Start) {
+  assert(!m_attempt.empty() &&
+         "an attempt needs an identifier to recognise crossed answers");
+}
+
+void AttemptMachine::onSending() { m_leftProcess = true; }
+
+AttemptActions AttemptMachine::onHead(Instant Now, const AnswerHead &Head) {
+  if (m_ended)
+    return {};
+  assert(m_leftProcess && "an answer cannot come before the request was sent");
+  m_head = Head;
+  m_headSeen = true;
+  m_lastProgress = Now;
+  // A target that does not echo the attempt cannot be told apart from a crossed
+  // answer.
+  if (Head.m_attempt != m_attempt)
+    return end(AttemptEnd::Crossed, true);
+  if (Head.m_statesNotRun)
+    return end(AttemptEnd::RefusedByTarget, false);
+  if (Head.m_status >= internal::FirstErrorStatus &&
+      m_shape != AnswerShape::Plain)
+    return end(AttemptEnd::TargetError, false);
+  return {};
+}
+
+AttemptActions AttemptMachine::onBody(Instant Now, std::string_view Bytes) {
+  if (m_ended)
+    return {};
+  if (!m_headSeen)
+    return end(AttemptEnd::Malformed, true);
+  m_lastProgress = Now;
+  m_bodySeen = m_bodySeen || !Bytes.empty();
+  return m_shape == AnswerShape::EventStream ? onStreamBytes(Bytes)
+                                             : onWholeBytes(Bytes);
+}
+
+AttemptActions AttemptMachine::onStreamBytes(std::string_view Bytes) {
+  std::string Events = m_parser.feed(Bytes);
+  if (m_parser.malformed()) {
+    AttemptActions Actions = end(AttemptEnd::Malformed, true);
+    return Actions;
+  }
+  // `[DONE]` without a finish reason is not the end of a whole answer, so it
+  // must not reach the caller.
+  if (m_parser.done() && !m_parser.complete())
+    return end(AttemptEnd::EndedEarly, true);
+  m_forwarded = m_forwarded || !Events.empty();
+  if (m_parser.complete()) {
+    AttemptActions Actions = end(AttemptEnd::Complete, false);
+    Actions.m_forward = std::move(Events);
+    return Actions;
+  }
+  AttemptActions Actions;
+  Actions.m_forward = std::move(Events);
+  return Actions;
+}
+
+AttemptActions AttemptMachine::onWholeBytes(std::string_view Bytes) {
+  if (m_body.size() + Bytes.size() > m_limits.m_answerBytes)
+    return end(AttemptEnd::Malformed, true);
+  m_body.append(Bytes);
+  return {};
+}
+
+AttemptEnd AttemptMachine::endOfMessage() const {
+  switch (m_shape) {
+  case AnswerShape::EventStream:
+    return AttemptEnd::EndedEarly;
+  case AnswerShape::Completion:
+    return isCompleteCompletion(m_body) ? AttemptEnd::Complete
+                                        : AttemptEnd::EndedEarly;
+  case AnswerShape::Plain:
+    return AttemptEnd::Complete;
+  }
+  return AttemptEnd::Malformed;
+}
+
+AttemptActions AttemptMachine::onConnectionEnd(Instant, ConnectionEnd End) {
+  if (m_ended)
+    return {};
+  if (End == ConnectionEnd::ConnectFailed) {
+    m_leftProcess = false;
+    return end(AttemptEnd::ConnectFailed, false);
+  }
+  if (End == ConnectionEnd::Broken || !m_headSeen)
+    return end(AttemptEnd::EndedEarly, false);
+  return end(endOfMessage(), false);
+}
+
+AttemptActions AttemptMachine::onTick(Instant Now) {
+  if (m_ended || Now < nextCheck())
+    return {};
+  return end(AttemptEnd::TimedOut, true);
+}
+
+AttemptActions AttemptMachine::onCallerGone(Instant) {
+  if (m_ended)
+    return {};
+  return end(AttemptEnd::CallerGone, true);
+}
+
+Instant AttemptMachine::nextCheck() const {
+  absl::Duration Bound =
+      m_bodySeen ? m_limits.m_progress : m_limits.m_firstByte;
+  return std::min(m_lastProgress + Bound, m_limits.m_deadline);
+}
+
+AttemptActions AttemptMachine::end(AttemptEnd End, bool Cancel) {
+  m_ended = true;
+  AttemptActions Actions;
+  // Only a message that was read in full leaves the connection fit for another
+  // request.
+  Actions.m_closeConnection = End != AttemptEnd::Complete;
+  Actions.m_cancelAtTarget = Cancel && m_leftProcess;
+  AttemptResult Result;
+  Result.m_end = End;
+  Result.m_status = m_head.m_status;
+  Result.m_leftProcess = m_leftProcess;
+  Result.m_forwarded = m_forwarded;
+  Result.m_tokens = m_parser.tokens();
+  Actions.m_result = Result;
+  return Actions;
+}
+
+} // namespace turmericdyke
