--- a/packages/declaration/turmericdyke/src/Declaration/DeclarationError.h
+++ b/packages/declaration/turmericdyke/src/Declaration/DeclarationError.h
@@ -15,4 +15,7 @@
   std::string m_allowed;
 };
 
+/// The error as one line: `FILE:LINE: FIELD: found X; allowed: Y`.
+std::string errorText(const DeclarationError &Error);
+
 } // namespace turmericdyke
--- /dev/null
+++ b/packages/declaration/turmericdyke/src/Declaration/FieldReader.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "turmericdyke/src/Declaration/Document.h"
+
+namespace turmericdyke::internal {
+
+/// Keeps the first error of a declaration that is read from several files.
+class ErrorSink {
+public:
+  void setFile(std::string_view FileName) { m_file = FileName; }
+  const std::string &file() const { return m_file; }
+  void fail(int Line, std::string Field, std::string Found,
+            std::string Allowed);
+  void fail(DeclarationError Error);
+  const std::optional<DeclarationError> &error() const { return m_error; }
+
+private:
+  std::string m_file;
+  std::optional<DeclarationError> m_error;
+};
+
+/// Whether a field must be present.
+enum class Presence { Required, Optional };
+
+/// Reads the fields of one map. The constructor refuses fields other than
+/// `Allowed`. Each function leaves its value unchanged when the field is absent
+/// or an error was found, and reports what it refuses to the sink.
+class FieldReader {
+public:
+  FieldReader(const DocumentNode &Node, std::string Path,
+              absl::Span<const std::string_view> Allowed, ErrorSink &Sink);
+
+  /// Printable ASCII of 1 to 256 bytes.
+  void text(std::string_view Field, std::string &Value, Presence Need);
+  void integer(std::string_view Field, std::int64_t &Value, std::int64_t Min,
+               std::int64_t Max, Presence Need);
+  void flag(std::string_view Field, bool &Value, Presence Need);
+  /// A whole number with one of the units ms, s, m, h.
+  void duration(std::string_view Field, absl::Duration &Value, Presence Need);
+  /// The list or map under `Field`; nothing when it is absent or refused.
+  const DocumentNode *list(std::string_view Field, Presence Need);
+  const DocumentNode *map(std::string_view Field, Presence Need);
+  /// The value under `Field` of whatever kind; null counts as absent.
+  const DocumentNode *find(std::string_view Field, Presence Need);
+
+  std::string path(std::string_view Field) const;
+  int line(std::string_view Field) const;
+  void fail(std::string_view Field, std::string Found, std::string Allowed);
+
+private:
+  const DocumentNode &m_node;
+  std::string m_path;
+  ErrorSink &m_sink;
+};
+
+/// Reads a scalar as text, whether it was quoted or not; numbers and booleans
+/// of JSON are refused.
+std::optional<std::string> readText(const DocumentNode &Node,
+                                    const std::string &Path, ErrorSink &Sink);
+
+/// Reads a scalar of any type as it was written, at most 256 bytes of printable
+/// ASCII, possibly empty.
+std::optional<std::string>
+readWritten(const DocumentNode &Node, const std::string &Path, ErrorSink &Sink);
+
+/// What a value is, for error messages.
+std::string describe(const DocumentNode &Node);
+
+/// Parses a whole number as `std::to_string` writes it.
+std::optional<std::int64_t> parseInteger(std::string_view Text);
+
+/// Parses a duration such as `500ms`.
+std::optional<absl::Duration> parseDuration(std::string_view Text);
+
+/// Writes a duration of whole milliseconds in its largest exact unit.
+std::string durationText(absl::Duration Value);
+
+} // namespace turmericdyke::internal
