--- a/packages/declaration/turmericdyke/src/Declaration/FieldReader.cpp
+++ b/packages/declaration/turmericdyke/src/Declaration/FieldReader.cpp
@@ -39,7 +39,7 @@
                          ErrorSink &Sink)
     : m_node(Node), m_path(std::move(Path)), m_sink(Sink) {
   if (Node.m_kind != DocumentKind::Map) {
-    Sink.fail(Node.m_line, m_path, describe(Node),
+    Sink.fail(Node.m_line, m_path.empty() ? "document" : m_path, describe(Node),
               fmt::format("a map of {}", fmt::join(Allowed, ", ")));
     return;
   }
