--- a/packages/base/turmericdyke/src/Base/Bytes.cpp
+++ b/packages/base/turmericdyke/src/Base/Bytes.cpp
@@ -12,6 +12,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 const unsigned char *octets(std::string_view Bytes) {
   return reinterpret_cast<const unsigned char *>(Bytes.data());
@@ -21,6 +22,7 @@
   return reinterpret_cast<unsigned char *>(Bytes.data());
 }
 
+} // namespace
 } // namespace internal
 
 std::string toHex(std::string_view Bytes) {
--- a/packages/base/turmericdyke/src/Base/KeyHash.cpp
+++ b/packages/base/turmericdyke/src/Base/KeyHash.cpp
@@ -13,6 +13,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::size_t DigestBytes = 32;
 
@@ -29,6 +30,7 @@
   return sha256(fmt::format("{}{}", Salt, Key));
 }
 
+} // namespace
 } // namespace internal
 
 KeyHash::KeyHash(std::string Salt, std::string Digest)
--- a/packages/base/turmericdyke/src/Base/LogLine.cpp
+++ b/packages/base/turmericdyke/src/Base/LogLine.cpp
@@ -10,6 +10,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 std::atomic<LogLevel> LeastLevel{LogLevel::Info};
 
@@ -27,6 +28,7 @@
   return false;
 }
 
+} // namespace
 } // namespace internal
 
 void setLogLevel(LogLevel Level) { internal::LeastLevel = Level; }
--- a/packages/base/turmericdyke/src/Base/Metrics.cpp
+++ b/packages/base/turmericdyke/src/Base/Metrics.cpp
@@ -11,6 +11,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::size_t MetricShards = 16;
 constexpr unsigned HistogramBuckets = 48;
@@ -50,6 +51,7 @@
                       labelText(Labels));
 }
 
+} // namespace
 } // namespace internal
 
 struct MetricsRegistry::Histogram {
--- a/packages/declaration/turmericdyke/src/Declaration/Declaration.cpp
+++ b/packages/declaration/turmericdyke/src/Declaration/Declaration.cpp
@@ -7,9 +7,11 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::size_t PoolHashHexDigits = 8;
 
+} // namespace
 } // namespace internal
 
 std::string poolName(const ResolvedModel &Model) {
--- a/packages/declaration/turmericdyke/src/Declaration/DeclarationParser.cpp
+++ b/packages/declaration/turmericdyke/src/Declaration/DeclarationParser.cpp
@@ -18,6 +18,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 /// A document together with the file it came from.
 struct SourceDocument {
@@ -472,6 +473,7 @@
   Read.m_resolved = std::move(Model.value());
 }
 
+} // namespace
 } // namespace internal
 
 Result<Declaration, DeclarationError>
--- /dev/null
+++ b/packages/edge/test/PortsTest.cpp
@@ -0,0 +1,49 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include "turmericdyke/Edge"
+
+using namespace turmericdyke;
+
+// Guards against the listen backlog of 5 that cpp-httplib is built with:
+// connections beyond it were dropped and came back a second later.
+TEST_CASE("a burst of 64 new connections is served without retransmissions") {
+  EdgeServices Services;
+  CallerServer Server(Services, CallerOptions());
+  REQUIRE(Server.start());
+  std::atomic<int> Fast{0};
+  std::vector<std::thread> Callers;
+  Callers.reserve(64);
+  for (int Caller = 0; Caller < 64; ++Caller)
+    Callers.emplace_back([&] {
+      httplib::Client Client("127.0.0.1", Server.port());
+      Instant Start = monotonicNow();
+      httplib::Result Answer = Client.Get("/healthz");
+      if (Answer && Answer->status == 200 &&
+          monotonicNow() - Start < absl::Milliseconds(900))
+        ++Fast;
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(Fast == 64);
+}
+
+TEST_CASE(
+    "a node without a read lease is not ready and refuses work as not run") {
+  EdgeServices Services;
+  CallerServer Server(Services, CallerOptions());
+  REQUIRE(Server.start());
+  httplib::Client Client("127.0.0.1", Server.port());
+  httplib::Result Ready = Client.Get("/readyz");
+  REQUIRE(Ready);
+  CHECK(Ready->status == 503);
+  httplib::Result Answer =
+      Client.Post("/v1/completions", "{}", "application/json");
+  REQUIRE(Answer);
+  CHECK(Answer->status == 503);
+  CHECK(Answer->get_header_value("X-Turmericdyke-Outcome") == "not_run");
+  CHECK(Answer->get_header_value("Retry-After") == "1");
+}
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
@@ -9,6 +9,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 using Json = nlohmann::json;
 
@@ -66,6 +67,7 @@
   return Reply;
 }
 
+} // namespace
 } // namespace internal
 
 CallerServer::CallerServer(EdgeServices &Services, CallerOptions Options)
@@ -79,6 +81,10 @@
   m_server.set_write_timeout(
       absl::ToChronoMilliseconds(m_options.m_writeTimeout));
   m_server.set_tcp_nodelay(true);
+  m_server.set_socket_options([this](socket_t Socket) {
+    httplib::default_socket_options(Socket);
+    m_backlog.note(Socket);
+  });
   addRoutes();
 }
 
@@ -86,12 +92,12 @@
 
 bool CallerServer::start() {
   if (m_options.m_port == 0)
-    m_port = m_server.bind_to_any_port(m_options.m_host.c_str());
+    m_port = m_server.bind_to_any_port(m_options.m_host);
   else
-    m_port = m_server.bind_to_port(m_options.m_host.c_str(), m_options.m_port)
+    m_port = m_server.bind_to_port(m_options.m_host, m_options.m_port)
                  ? m_options.m_port
                  : -1;
-  if (m_port <= 0)
+  if (m_port <= 0 || !m_backlog.raise())
     return false;
   m_thread = std::thread([this] { m_server.listen_after_bind(); });
   return true;
@@ -225,7 +231,7 @@
   ExchangeStep First = Running->next([] { return true; });
   if (First.m_end)
     return answerWhole(*Running, First, Response);
-  answerStream(std::move(Running), std::move(First), Response);
+  answerStream(Running, std::move(First), Response);
 }
 
 void CallerServer::answerWhole(Exchange &Running, const ExchangeStep &Last,
@@ -242,7 +248,7 @@
     Response.set_content(Running.body(), "application/json");
 }
 
-void CallerServer::answerStream(std::shared_ptr<Exchange> Running,
+void CallerServer::answerStream(const std::shared_ptr<Exchange> &Running,
                                 ExchangeStep First,
                                 httplib::Response &Response) {
   Response.set_header("X-Turmericdyke-Request",
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.h
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.h
@@ -10,6 +10,7 @@
 #include <httplib.h>
 
 #include "absl/synchronization/mutex.h"
+#include "turmericdyke/src/Base/ListenBacklog.h"
 #include "turmericdyke/src/Edge/EdgeServices.h"
 #include "turmericdyke/src/Edge/Exchange.h"
 #include "turmericdyke/src/Edge/KeyTable.h"
@@ -51,8 +52,8 @@
   void addRoutes();
   void onCompletion(const httplib::Request &Request,
                     httplib::Response &Response);
-  void answerStream(std::shared_ptr<Exchange> Running, ExchangeStep First,
-                    httplib::Response &Response);
+  void answerStream(const std::shared_ptr<Exchange> &Running,
+                    ExchangeStep First, httplib::Response &Response);
   void answerWhole(Exchange &Running, const ExchangeStep &Last,
                    httplib::Response &Response);
   bool writeStream(Exchange &Running, ExchangeStep Step,
@@ -68,6 +69,7 @@
 
   EdgeServices &m_services;
   CallerOptions m_options;
+  ListenBacklog m_backlog;
   httplib::Server m_server;
   std::thread m_thread;
   int m_port = 0;
--- a/packages/edge/turmericdyke/src/Edge/ControlServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/ControlServer.cpp
@@ -12,6 +12,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::string_view KeyPrefix = "Bearer ";
 
@@ -25,6 +26,7 @@
       .dump();
 }
 
+} // namespace
 } // namespace internal
 
 ControlServer::ControlServer(EdgeServices &Services,
@@ -40,18 +42,22 @@
   };
   m_server.set_payload_max_length(m_options.m_maxBodyBytes);
   m_server.set_tcp_nodelay(true);
+  m_server.set_socket_options([this](socket_t Socket) {
+    httplib::default_socket_options(Socket);
+    m_backlog.note(Socket);
+  });
 }
 
 ControlServer::~ControlServer() { stop(); }
 
 bool ControlServer::start() {
   if (m_options.m_port == 0)
-    m_port = m_server.bind_to_any_port(m_options.m_host.c_str());
+    m_port = m_server.bind_to_any_port(m_options.m_host);
   else
-    m_port = m_server.bind_to_port(m_options.m_host.c_str(), m_options.m_port)
+    m_port = m_server.bind_to_port(m_options.m_host, m_options.m_port)
                  ? m_options.m_port
                  : -1;
-  if (m_port <= 0)
+  if (m_port <= 0 || !m_backlog.raise())
     return false;
   m_thread = std::thread([this] { m_server.listen_after_bind(); });
   return true;
--- a/packages/edge/turmericdyke/src/Edge/ControlServer.h
+++ b/packages/edge/turmericdyke/src/Edge/ControlServer.h
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include "turmericdyke/src/Base/KeyHash.h"
+#include "turmericdyke/src/Base/ListenBacklog.h"
 #include "turmericdyke/src/Edge/EdgeServices.h"
 
 namespace turmericdyke {
@@ -47,6 +48,7 @@
   ControlServerOptions m_options;
   std::string m_name;
   std::optional<KeyHash> m_key;
+  ListenBacklog m_backlog;
   httplib::Server m_server;
   std::thread m_thread;
   int m_port = 0;
--- a/packages/edge/turmericdyke/src/Edge/Exchange.cpp
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.cpp
@@ -13,6 +13,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 /// How often the caller's connection is checked while the target is silent.
 constexpr absl::Duration CallerCheckInterval = absl::Milliseconds(100);
@@ -29,6 +30,7 @@
       {"X-Turmericdyke-Priority", fmt::format("{}", Call.m_rank)}};
 }
 
+} // namespace
 } // namespace internal
 
 Exchange::Exchange(EdgeServices &Services, CompletionCall Call)
--- a/packages/edge/turmericdyke/src/Edge/KeyTable.cpp
+++ b/packages/edge/turmericdyke/src/Edge/KeyTable.cpp
@@ -6,9 +6,11 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::size_t KeyShards = 8;
 
+} // namespace
 } // namespace internal
 
 KeyTable::KeyTable(const Declaration &Source) {
--- a/packages/edge/turmericdyke/src/Edge/Replies.h
+++ b/packages/edge/turmericdyke/src/Edge/Replies.h
@@ -10,7 +10,7 @@
 
 namespace httplib {
 struct Response;
-}
+} // namespace httplib
 
 namespace turmericdyke {
 
--- a/packages/edge/turmericdyke/src/Edge/TargetConnection.cpp
+++ b/packages/edge/turmericdyke/src/Edge/TargetConnection.cpp
@@ -5,6 +5,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 // A slow caller stops the reading from the target at this size instead of
 // growing memory.
@@ -34,6 +35,7 @@
          Error == httplib::Error::BindIPAddress;
 }
 
+} // namespace
 } // namespace internal
 
 TargetConnection::TargetConnection(TargetCall Call)
--- a/packages/fleet/turmericdyke/src/Fleet/Assignment.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/Assignment.cpp
@@ -5,6 +5,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::string_view AssignmentPhaseNames[] = {"active", "ending"};
 
@@ -22,6 +23,7 @@
   }
 }
 
+} // namespace
 } // namespace internal
 
 nlohmann::json toJson(const Assignment &Value) {
--- a/packages/fleet/turmericdyke/src/Fleet/Order.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/Order.cpp
@@ -5,9 +5,11 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::string_view OrderKindNames[] = {"join", "release", "drain"};
 
+} // namespace
 } // namespace internal
 
 std::string_view nameOf(OrderKind Kind) {
--- a/packages/fleet/turmericdyke/src/Fleet/TargetAnnouncement.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/TargetAnnouncement.cpp
@@ -5,6 +5,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::string_view TargetKindNames[] = {"model", "service"};
 constexpr std::string_view TargetStateNames[] = {"idle", "loading", "ready",
@@ -52,6 +53,7 @@
           {"rank", Membership.m_rank}};
 }
 
+} // namespace
 } // namespace internal
 
 std::string_view nameOf(TargetKind Kind) {
--- a/packages/node/app/Main.cpp
+++ b/packages/node/app/Main.cpp
@@ -1,4 +1,5 @@
-// The node: serves callers, targets, operators and the other nodes until it is told to stop.
+// The node: serves callers, targets, operators and the other nodes until it is
+// told to stop.
 
 #include <csignal>
 #include <cstdio>
@@ -23,7 +24,8 @@
 constexpr absl::Duration DrainPoll = absl::Milliseconds(20);
 
 int failSettings(const SettingsError &Error) {
-  fmt::print(stderr, "turmericdyked: {}: {}\n", Error.m_setting, Error.m_message);
+  fmt::print(stderr, "turmericdyked: {}: {}\n", Error.m_setting,
+             Error.m_message);
   return SettingsExitCode;
 }
 
@@ -41,17 +43,21 @@
   return sigtimedwait(&Signals, nullptr, &Limit) > 0;
 }
 
-void drain(CallerServer &Callers, const Settings &Checked, const sigset_t &Signals) {
+void drain(CallerServer &Callers, const Settings &Checked,
+           const sigset_t &Signals) {
   Instant Start = monotonicNow();
   Callers.startDraining();
-  LogLine(LogLevel::Info, "drain_started").field("in_flight", Callers.inFlight());
+  LogLine(LogLevel::Info, "drain_started")
+      .field("in_flight", Callers.inFlight());
   for (;;) {
     Instant Now = monotonicNow();
     bool NoticeOver = Now >= Start + Checked.m_balancerNotice;
     if (NoticeOver && Callers.inFlight() == 0)
       return;
-    if (secondSignal(Signals, DrainPoll) || Now >= Start + Checked.m_drainLimit) {
-      LogLine(LogLevel::Warning, "drain_cut_short").field("cut_off", Callers.inFlight());
+    if (secondSignal(Signals, DrainPoll) ||
+        Now >= Start + Checked.m_drainLimit) {
+      LogLine(LogLevel::Warning, "drain_cut_short")
+          .field("cut_off", Callers.inFlight());
       return;
     }
   }
@@ -62,7 +68,8 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   EdgeServices Services;
   Services.m_node = Checked.m_node;
-  Services.m_incarnation = static_cast<std::uint64_t>(absl::GetCurrentTimeNanos());
+  Services.m_incarnation =
+      static_cast<std::uint64_t>(absl::GetCurrentTimeNanos());
   LocalControl Control(Services);
   CallerOptions Options;
   Options.m_host = Checked.m_callerAddress.m_host;
@@ -70,12 +77,17 @@
   Options.m_maxConnections = Checked.m_maxCallerConnections;
   Options.m_maxBodyBytes = Checked.m_maxBodyBytes;
   CallerServer Callers(Services, Options);
-  ControlServer Targets(
-      Services, {Checked.m_targetAddress.m_host, Checked.m_targetAddress.m_port, Checked.m_targetKeyHash}, "target");
+  ControlServer Targets(Services,
+                        {Checked.m_targetAddress.m_host,
+                         Checked.m_targetAddress.m_port,
+                         Checked.m_targetKeyHash},
+                        "target");
   Targets.addTargetRoutes(Control);
-  ControlServer Operators(
-      Services, {Checked.m_operatorAddress.m_host, Checked.m_operatorAddress.m_port, Checked.m_operatorKeyHash},
-      "operator");
+  ControlServer Operators(Services,
+                          {Checked.m_operatorAddress.m_host,
+                           Checked.m_operatorAddress.m_port,
+                           Checked.m_operatorKeyHash},
+                          "operator");
   Operators.addOperatorRoutes(Control);
   if (!Callers.start() || !Targets.start() || !Operators.start()) {
     LogLine(LogLevel::Error, "port_not_bound").field("node", Checked.m_node);
@@ -96,7 +108,8 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  gflags::SetUsageMessage("serves language models whose replicas span several hosts");
+  gflags::SetUsageMessage(
+      "serves language models whose replicas span several hosts");
   gflags::SetVersionString(TURMERICDYKE_VERSION);
   Result<void, SettingsError> Environment = readEnvironment();
   if (!Environment)
--- a/packages/node/turmericdyke/src/Node/Settings.cpp
+++ b/packages/node/turmericdyke/src/Node/Settings.cpp
@@ -20,48 +20,74 @@
 DEFINE_string(node, "node-1", "name of this node, unique in the cluster");
 DEFINE_string(failure_domain, "domain-1", "failure domain of this node");
 DEFINE_string(caller_address, "127.0.0.1:8080", "IP:port for callers");
-DEFINE_string(target_address, "127.0.0.1:8081", "IP:port where targets announce themselves");
+DEFINE_string(target_address, "127.0.0.1:8081",
+              "IP:port where targets announce themselves");
 DEFINE_string(operator_address, "127.0.0.1:8082", "IP:port for operators");
 DEFINE_string(peer_address, "127.0.0.1:8083", "IP:port for the other nodes");
 DEFINE_string(peers, "", "other nodes, NAME=IP:port with commas");
-DEFINE_string(initial_voters, "", "names of the nodes that vote when the cluster is formed, with commas");
-DEFINE_string(data_dir, "", "directory for the durable control state; a node without one does not vote");
-DEFINE_string(cluster_secret_file, "", "file with the secret that the nodes share; required with peers");
-DEFINE_string(operator_key_hash, "", "salted hash of the operators' key; required unless operators come over loopback");
-DEFINE_string(target_key_hash, "", "salted hash of the targets' key; empty lets each target announce itself");
-DEFINE_int32(balancer_notice_ms, 2000, "how long after the start of a stop the balancer may still send requests");
-DEFINE_int32(drain_limit_s, 600, "longest time that a stop waits for requests in flight");
-DEFINE_int32(max_caller_connections, 1024, "callers served at a time; each holds a thread");
+DEFINE_string(
+    initial_voters, "",
+    "names of the nodes that vote when the cluster is formed, with commas");
+DEFINE_string(data_dir, "",
+              "directory for the durable control state; a node without one "
+              "does not vote");
+DEFINE_string(cluster_secret_file, "",
+              "file with the secret that the nodes share; required with peers");
+DEFINE_string(operator_key_hash, "",
+              "salted hash of the operators' key; required unless operators "
+              "come over loopback");
+DEFINE_string(
+    target_key_hash, "",
+    "salted hash of the targets' key; empty lets each target announce itself");
+DEFINE_int32(
+    balancer_notice_ms, 2000,
+    "how long after the start of a stop the balancer may still send requests");
+DEFINE_int32(drain_limit_s, 600,
+             "longest time that a stop waits for requests in flight");
+DEFINE_int32(max_caller_connections, 1024,
+             "callers served at a time; each holds a thread");
 DEFINE_int32(max_body_bytes, 8 << 20, "largest body of a caller's request");
-DEFINE_string(log_level, "info", "least level that is logged: debug, info, warning or error");
+DEFINE_string(log_level, "info",
+              "least level that is logged: debug, info, warning or error");
 
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::size_t LeastSecretBytes = 16;
 constexpr std::size_t MaxNameBytes = 64;
 
-SettingsError error(std::string_view Setting, std::string Message) { return {std::string(Setting), std::move(Message)}; }
+SettingsError error(std::string_view Setting, std::string Message) {
+  return {std::string(Setting), std::move(Message)};
+}
 
-std::string environmentName(const std::string &Flag) { return "TURMERICDYKE_" + absl::AsciiStrToUpper(Flag); }
+std::string environmentName(const std::string &Flag) {
+  return "TURMERICDYKE_" + absl::AsciiStrToUpper(Flag);
+}
 
 bool isName(std::string_view Text) {
-  return !Text.empty() && Text.size() <= MaxNameBytes && std::all_of(Text.begin(), Text.end(), [](char C) {
-    return absl::ascii_isalnum(static_cast<unsigned char>(C)) || C == '-' || C == '_' || C == '.';
-  });
+  return !Text.empty() && Text.size() <= MaxNameBytes &&
+         std::all_of(Text.begin(), Text.end(), [](char C) {
+           return absl::ascii_isalnum(static_cast<unsigned char>(C)) ||
+                  C == '-' || C == '_' || C == '.';
+         });
 }
 
-std::vector<std::string> split(const std::string &Text) { return absl::StrSplit(Text, ',', absl::SkipEmpty()); }
+std::vector<std::string> split(const std::string &Text) {
+  return absl::StrSplit(Text, ',', absl::SkipEmpty());
+}
 
 /// Fills one part of the settings from flags.
 using ReadPart = Result<void, SettingsError> (*)(Settings &);
 
 Result<void, SettingsError> readIdentity(Settings &Read) {
   if (!isName(FLAGS_node))
-    return failure(error("node", "is not a name of letters, digits, '-', '_' and '.'"));
+    return failure(
+        error("node", "is not a name of letters, digits, '-', '_' and '.'"));
   if (!isName(FLAGS_failure_domain))
-    return failure(error("failure_domain", "is not a name of letters, digits, '-', '_' and '.'"));
+    return failure(error("failure_domain",
+                         "is not a name of letters, digits, '-', '_' and '.'"));
   Read.m_node = NodeId(FLAGS_node);
   Read.m_failureDomain = FailureDomainId(FLAGS_failure_domain);
   return success();
@@ -73,17 +99,22 @@
     const std::string &m_text;
     ListenAddress Settings::*m_member;
   };
-  const Entry Entries[] = {{"caller_address", FLAGS_caller_address, &Settings::m_callerAddress},
-                           {"target_address", FLAGS_target_address, &Settings::m_targetAddress},
-                           {"operator_address", FLAGS_operator_address, &Settings::m_operatorAddress},
-                           {"peer_address", FLAGS_peer_address, &Settings::m_peerAddress}};
+  const Entry Entries[] = {
+      {"caller_address", FLAGS_caller_address, &Settings::m_callerAddress},
+      {"target_address", FLAGS_target_address, &Settings::m_targetAddress},
+      {"operator_address", FLAGS_operator_address,
+       &Settings::m_operatorAddress},
+      {"peer_address", FLAGS_peer_address, &Settings::m_peerAddress}};
   std::set<std::string> Seen;
   for (const Entry &Address : Entries) {
-    Result<ListenAddress, SettingsError> Parsed = parseAddress(Address.m_setting, Address.m_text);
+    Result<ListenAddress, SettingsError> Parsed =
+        parseAddress(Address.m_setting, Address.m_text);
     if (!Parsed)
       return failure(Parsed.error());
-    if (Parsed.value().m_port != 0 && !Seen.insert(Parsed.value().text()).second)
-      return failure(error(Address.m_setting, "is the address of another port of this node"));
+    if (Parsed.value().m_port != 0 &&
+        !Seen.insert(Parsed.value().text()).second)
+      return failure(error(Address.m_setting,
+                           "is the address of another port of this node"));
     Read.*Address.m_member = Parsed.value();
   }
   return success();
@@ -93,8 +124,10 @@
   for (const std::string &Entry : split(FLAGS_peers)) {
     std::vector<std::string> Parts = absl::StrSplit(Entry, '=');
     if (Parts.size() != 2 || !isName(Parts[0]))
-      return failure(error("peers", fmt::format("'{}' is not NAME=IP:port", Entry)));
-    Result<ListenAddress, SettingsError> Address = parseAddress("peers", Parts[1]);
+      return failure(
+          error("peers", fmt::format("'{}' is not NAME=IP:port", Entry)));
+    Result<ListenAddress, SettingsError> Address =
+        parseAddress("peers", Parts[1]);
     if (!Address)
       return failure(Address.error());
     if (NodeId(Parts[0]) == Read.m_node)
@@ -110,7 +143,9 @@
   for (const std::string &Name : split(FLAGS_initial_voters)) {
     NodeId Voter(Name);
     if (Voter != Read.m_node && Read.m_peers.count(Voter) == 0)
-      return failure(error("initial_voters", fmt::format("'{}' is neither this node nor a peer", Name)));
+      return failure(
+          error("initial_voters",
+                fmt::format("'{}' is neither this node nor a peer", Name)));
     Read.m_initialVoters.push_back(Voter);
   }
   if (Read.alone()) {
@@ -121,8 +156,9 @@
     return failure(error("initial_voters", "is required with peers"));
   if (Read.m_initialVoters.size() % 2 == 0)
     return failure(error("initial_voters", "must be an odd number of nodes"));
-  bool Votes = std::find(Read.m_initialVoters.begin(), Read.m_initialVoters.end(), Read.m_node) !=
-               Read.m_initialVoters.end();
+  bool Votes =
+      std::find(Read.m_initialVoters.begin(), Read.m_initialVoters.end(),
+                Read.m_node) != Read.m_initialVoters.end();
   if (Votes && Read.m_dataDirectory.empty())
     return failure(error("data_dir", "is required on a voter"));
   return success();
@@ -138,13 +174,19 @@
       return failure(error("cluster_secret_file", "cannot be read"));
   }
   if (!Read.alone() && Read.m_clusterSecret.size() < LeastSecretBytes)
-    return failure(error("cluster_secret_file", "must hold a secret of at least 16 bytes when there are peers"));
-  if (!FLAGS_operator_key_hash.empty() && !KeyHash::parse(FLAGS_operator_key_hash))
+    return failure(
+        error("cluster_secret_file",
+              "must hold a secret of at least 16 bytes when there are peers"));
+  if (!FLAGS_operator_key_hash.empty() &&
+      !KeyHash::parse(FLAGS_operator_key_hash))
     return failure(error("operator_key_hash", "is not sha256:SALT:DIGEST"));
   if (!FLAGS_target_key_hash.empty() && !KeyHash::parse(FLAGS_target_key_hash))
     return failure(error("target_key_hash", "is not sha256:SALT:DIGEST"));
-  if (FLAGS_operator_key_hash.empty() && Read.m_operatorAddress.m_host.rfind("127.", 0) != 0)
-    return failure(error("operator_key_hash", "is required unless operator_address is a loopback address"));
+  if (FLAGS_operator_key_hash.empty() &&
+      Read.m_operatorAddress.m_host.rfind("127.", 0) != 0)
+    return failure(
+        error("operator_key_hash",
+              "is required unless operator_address is a loopback address"));
   Read.m_operatorKeyHash = FLAGS_operator_key_hash;
   Read.m_targetKeyHash = FLAGS_target_key_hash;
   return success();
@@ -155,46 +197,59 @@
     return failure(error("balancer_notice_ms", "is not between 0 and 600000"));
   if (FLAGS_drain_limit_s < 1 || FLAGS_drain_limit_s > 86400)
     return failure(error("drain_limit_s", "is not between 1 and 86400"));
-  if (absl::Milliseconds(FLAGS_balancer_notice_ms) > absl::Seconds(FLAGS_drain_limit_s))
-    return failure(error("drain_limit_s", "is shorter than balancer_notice_ms"));
+  if (absl::Milliseconds(FLAGS_balancer_notice_ms) >
+      absl::Seconds(FLAGS_drain_limit_s))
+    return failure(
+        error("drain_limit_s", "is shorter than balancer_notice_ms"));
   if (FLAGS_max_caller_connections < 1 || FLAGS_max_caller_connections > 16384)
-    return failure(error("max_caller_connections", "is not between 1 and 16384"));
+    return failure(
+        error("max_caller_connections", "is not between 1 and 16384"));
   if (FLAGS_max_body_bytes < 1024 || FLAGS_max_body_bytes > 256 << 20)
-    return failure(error("max_body_bytes", "is not between 1024 and 268435456"));
+    return failure(
+        error("max_body_bytes", "is not between 1024 and 268435456"));
   Read.m_balancerNotice = absl::Milliseconds(FLAGS_balancer_notice_ms);
   Read.m_drainLimit = absl::Seconds(FLAGS_drain_limit_s);
-  Read.m_maxCallerConnections = static_cast<std::size_t>(FLAGS_max_caller_connections);
+  Read.m_maxCallerConnections =
+      static_cast<std::size_t>(FLAGS_max_caller_connections);
   Read.m_maxBodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
   return success();
 }
 
 Result<void, SettingsError> readLogLevel(Settings &) {
   constexpr std::string_view Names[] = {"debug", "info", "warning", "error"};
-  const auto *Found = std::find(std::begin(Names), std::end(Names), FLAGS_log_level);
+  const auto *Found =
+      std::find(std::begin(Names), std::end(Names), FLAGS_log_level);
   if (Found == std::end(Names))
-    return failure(error("log_level", "is none of debug, info, warning and error"));
+    return failure(
+        error("log_level", "is none of debug, info, warning and error"));
   setLogLevel(static_cast<LogLevel>(Found - std::begin(Names)));
   return success();
 }
 
+} // namespace
 } // namespace internal
 
-std::string ListenAddress::text() const { return fmt::format("{}:{}", m_host, m_port); }
+std::string ListenAddress::text() const {
+  return fmt::format("{}:{}", m_host, m_port);
+}
 
 Result<void, SettingsError> readEnvironment() {
   std::vector<gflags::CommandLineFlagInfo> Flags;
   gflags::GetAllFlags(&Flags);
   for (const gflags::CommandLineFlagInfo &Flag : Flags) {
-    const char *Value = std::getenv(internal::environmentName(Flag.name).c_str());
+    const char *Value =
+        std::getenv(internal::environmentName(Flag.name).c_str());
     if (Value == nullptr)
       continue;
     if (gflags::SetCommandLineOption(Flag.name.c_str(), Value).empty())
-      return failure(internal::error(internal::environmentName(Flag.name), fmt::format("cannot be '{}'", Value)));
+      return failure(internal::error(internal::environmentName(Flag.name),
+                                     fmt::format("cannot be '{}'", Value)));
   }
   return success();
 }
 
-Result<ListenAddress, SettingsError> parseAddress(std::string_view Setting, std::string_view Text) {
+Result<ListenAddress, SettingsError> parseAddress(std::string_view Setting,
+                                                  std::string_view Text) {
   std::size_t Colon = Text.rfind(':');
   if (Colon == std::string_view::npos)
     return failure(internal::error(Setting, "is not IP:port"));
@@ -202,17 +257,21 @@
   Address.m_host = std::string(Text.substr(0, Colon));
   in_addr Number{};
   if (inet_pton(AF_INET, Address.m_host.c_str(), &Number) != 1)
-    return failure(internal::error(Setting, "does not begin with an IPv4 number"));
+    return failure(
+        internal::error(Setting, "does not begin with an IPv4 number"));
   std::string Port(Text.substr(Colon + 1));
-  if (!absl::SimpleAtoi(Port, &Address.m_port) || Address.m_port < 0 || Address.m_port > 65535)
-    return failure(internal::error(Setting, "does not end in a port between 0 and 65535"));
+  if (!absl::SimpleAtoi(Port, &Address.m_port) || Address.m_port < 0 ||
+      Address.m_port > 65535)
+    return failure(
+        internal::error(Setting, "does not end in a port between 0 and 65535"));
   return Address;
 }
 
 Result<Settings, SettingsError> parseSettings() {
-  constexpr internal::ReadPart Parts[] = {&internal::readIdentity, &internal::readAddresses, &internal::readPeers,
-                                          &internal::readVoters,   &internal::readSecrets,   &internal::readLimits,
-                                          &internal::readLogLevel};
+  constexpr internal::ReadPart Parts[] = {
+      &internal::readIdentity, &internal::readAddresses, &internal::readPeers,
+      &internal::readVoters,   &internal::readSecrets,   &internal::readLimits,
+      &internal::readLogLevel};
   Settings Read;
   for (internal::ReadPart Part : Parts) {
     Result<void, SettingsError> Done = Part(Read);
--- a/packages/node/turmericdyke/src/Node/Settings.h
+++ b/packages/node/turmericdyke/src/Node/Settings.h
@@ -52,14 +52,16 @@
   std::string m_message;
 };
 
-/// Sets each flag of this program that has an environment variable `TURMERICDYKE_` + its name in upper case.
-/// Call before the command line is parsed, which goes first.
+/// Sets each flag of this program that has an environment variable
+/// `TURMERICDYKE_` + its name in upper case. Call before the command line is
+/// parsed, which goes first.
 Result<void, SettingsError> readEnvironment();
 
 /// Reads and checks all flags. Opens no port and writes nothing.
 Result<Settings, SettingsError> parseSettings();
 
 /// Reads `IP:port`. The host must be an IP number.
-Result<ListenAddress, SettingsError> parseAddress(std::string_view Setting, std::string_view Text);
+Result<ListenAddress, SettingsError> parseAddress(std::string_view Setting,
+                                                  std::string_view Text);
 
 } // namespace turmericdyke
--- a/packages/requests/turmericdyke/src/Requests/AttemptMachine.cpp
+++ b/packages/requests/turmericdyke/src/Requests/AttemptMachine.cpp
@@ -7,9 +7,11 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr int FirstErrorStatus = 400;
 
+} // namespace
 } // namespace internal
 
 AttemptMachine::AttemptMachine(AttemptId Attempt, AnswerShape Shape,
--- a/packages/requests/turmericdyke/src/Requests/EventStreamParser.cpp
+++ b/packages/requests/turmericdyke/src/Requests/EventStreamParser.cpp
@@ -5,6 +5,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 using Json = nlohmann::json;
 
@@ -44,6 +45,7 @@
          Delta->contains("content");
 }
 
+} // namespace
 } // namespace internal
 
 EventStreamParser::EventStreamParser(std::size_t MaxEventBytes)
--- a/packages/requests/turmericdyke/src/Requests/InFlightTable.cpp
+++ b/packages/requests/turmericdyke/src/Requests/InFlightTable.cpp
@@ -6,10 +6,9 @@
 namespace turmericdyke {
 
 void InFlightTable::start(const ReplicaId &Replica, std::uint64_t Generation,
-                          InFlightAttempt Attempt) {
-  AttemptId Id = Attempt.m_attempt;
+                          const InFlightAttempt &Attempt) {
   bool Added = m_running[{Replica, Generation}]
-                   .emplace(std::move(Id), std::move(Attempt))
+                   .emplace(Attempt.m_attempt, Attempt)
                    .second;
   assert(Added && "an attempt starts once");
   (void)Added;
--- a/packages/requests/turmericdyke/src/Requests/InFlightTable.h
+++ b/packages/requests/turmericdyke/src/Requests/InFlightTable.h
@@ -23,7 +23,7 @@
 class InFlightTable {
 public:
   void start(const ReplicaId &Replica, std::uint64_t Generation,
-             InFlightAttempt Attempt);
+             const InFlightAttempt &Attempt);
   void finish(const ReplicaId &Replica, std::uint64_t Generation,
               const AttemptId &Attempt);
   /// Takes all attempts of a replica generation out of the table.
--- a/packages/requests/turmericdyke/src/Requests/RetryPolicy.cpp
+++ b/packages/requests/turmericdyke/src/Requests/RetryPolicy.cpp
@@ -8,6 +8,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr int FirstServerErrorStatus = 500;
 
@@ -33,6 +34,7 @@
   return Most * absl::uniform_real_distribution<double>(0, 1)(Random);
 }
 
+} // namespace
 } // namespace internal
 
 std::optional<absl::Duration>
--- a/packages/standin/turmericdyke/src/StandIn/StandInTarget.cpp
+++ b/packages/standin/turmericdyke/src/StandIn/StandInTarget.cpp
@@ -11,12 +11,14 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Base/ListenBacklog.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Fleet/Order.h"
 
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 using Json = nlohmann::json;
 
@@ -60,6 +62,7 @@
       .dump();
 }
 
+} // namespace
 } // namespace internal
 
 class StandInTarget::Impl {
@@ -87,6 +90,7 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
 
   StandInOptions m_options;
+  ListenBacklog m_backlog;
   httplib::Server m_server;
   std::thread m_serverThread;
   std::thread m_announceThread;
@@ -107,6 +111,10 @@
     return new httplib::ThreadPool(internal::ServerThreads);
   };
   m_server.set_tcp_nodelay(true);
+  m_server.set_socket_options([this](socket_t Socket) {
+    httplib::default_socket_options(Socket);
+    m_backlog.note(Socket);
+  });
   m_server.Post("/v1/orders", [this](const auto &Request, auto &Response) {
     onOrder(Request, Response);
   });
@@ -137,6 +145,7 @@
     onServiceCall(Request, Response);
   });
   int Port = m_server.bind_to_any_port("127.0.0.1");
+  m_backlog.raise();
   {
     absl::MutexLock Lock(&m_lock);
     m_state.m_target = m_options.m_target;
