--- /dev/null
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftState.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "turmericdyke/src/Base/StringId.h"
+
+namespace turmericdyke {
+
+/// Election term. 0 means none; a bootstrapped log starts in term 1.
+using Term = std::uint64_t;
+
+/// Position in the log. 0 means none; the first entry has index 1.
+using LogIndex = std::uint64_t;
+
+/// A voter is a node together with the identity of its data directory: a
+/// directory that was lost and drawn anew is another voter.
+struct Voter {
+  NodeId m_node;
+  std::string m_identity;
+
+  friend auto operator<=>(const Voter &, const Voter &) = default;
+  friend bool operator==(const Voter &, const Voter &) = default;
+};
+
+/// The voters, sorted by node, each node at most once.
+struct VoterSet {
+  std::vector<Voter> m_voters;
+
+  /// The number of voters that decide.
+  std::size_t majority() const { return m_voters.size() / 2 + 1; }
+  bool contains(const Voter &Candidate) const;
+  /// The voter of `Node`, or null.
+  const Voter *find(const NodeId &Node) const;
+
+  friend bool operator==(const VoterSet &, const VoterSet &) = default;
+};
+
+/// `NoOp` starts a term; `Command` carries bytes of the state machine; `Voters`
+/// carries the whole voter set from that entry on.
+enum class EntryKind : std::uint8_t { NoOp = 0, Command = 1, Voters = 2 };
+
+struct LogEntry {
+  LogIndex m_index = 0;
+  Term m_term = 0;
+  EntryKind m_kind = EntryKind::NoOp;
+  std::string m_command;
+  VoterSet m_voters;
+
+  friend bool operator==(const LogEntry &, const LogEntry &) = default;
+};
+
+/// The state machine after the entry `m_index`, and the voter set in force
+/// there.
+struct Snapshot {
+  LogIndex m_index = 0;
+  Term m_term = 0;
+  VoterSet m_voters;
+  std::string m_data;
+
+  friend bool operator==(const Snapshot &, const Snapshot &) = default;
+};
+
+/// What a voter must not forget between restarts.
+struct HardState {
+  Term m_term = 0;
+  /// The candidate this voter chose in `m_term`; its node is empty if none.
+  Voter m_vote;
+  /// A leader found that this directory was rolled back. It never votes again.
+  bool m_identityRevoked = false;
+
+  friend bool operator==(const HardState &, const HardState &) = default;
+};
+
+/// Everything `Raft` starts from. A learner without data directory starts from
+/// a default value, whose identity is empty.
+struct PersistentState {
+  std::string m_identity;
+  HardState m_hardState;
+  Snapshot m_snapshot;
+  /// Contiguous; entries up to `m_snapshot.m_index` are ignored.
+  std::vector<LogEntry> m_entries;
+};
+
+/// The state of a voter of a new cluster: the first entry carries the initial
+/// voter set. All initial voters must start from the same set.
+PersistentState bootstrapState(std::string Identity, VoterSet Voters);
+
+/// The next voter set on the way from `Current` to `Goal` that differs from
+/// `Current` by one voter. A changed identity takes two steps, removal and
+/// addition, because majorities of the old and the new set need not overlap.
+VoterSet stepTowards(const VoterSet &Current, const VoterSet &Goal);
+
+/// Whether the sets differ by exactly one added or one removed voter.
+bool differByOneVoter(const VoterSet &A, const VoterSet &B);
+
+/// Sorts by node; nothing if a node occurs twice, a name or an identity is
+/// empty or there is no voter.
+std::optional<VoterSet> normalizedVoterSet(VoterSet Voters);
+
+} // namespace turmericdyke
