--- /dev/null
+++ b/packages/control/test/ControlStateTest.cpp
@@ -0,0 +1,275 @@
+#include <doctest/doctest.h>
+
+#include "TestParser.h"
+#include "turmericdyke/Control"
+
+using namespace turmericdyke;
+
+namespace {
+
+const CustomerId Acme("acme");
+
+/// A state with a running log index.
+struct Fixture {
+  ControlState m_state{testParser};
+  std::uint64_t m_index = 0;
+
+  CommandResult apply(const Command &Value) {
+    return m_state.apply(++m_index, Value);
+  }
+  template <class T> T applyAs(const Command &Value) {
+    CommandResult Result = apply(Value);
+    REQUIRE(std::holds_alternative<T>(Result));
+    return std::get<T>(Result);
+  }
+  void advance(absl::Duration By) { apply(Tick{m_state.logTime() + By}); }
+};
+
+Assignment assignment(const char *Replica, std::uint64_t Generation,
+                      std::initializer_list<const char *> Hosts) {
+  Assignment Value;
+  Value.m_replica = ReplicaId(Replica);
+  Value.m_generation = Generation;
+  for (const char *Host : Hosts)
+    Value.m_members.push_back(
+        {TargetId(std::string("t-") + Host), HostId(Host), 1});
+  return Value;
+}
+
+BeginOnceOnly begin(const char *Key, const char *Digest = "d") {
+  return {Acme, Key, Digest, NodeId("n1"), 1, AttemptId("a1"), {}};
+}
+
+FinishOnceOnly finish(const char *Key, OnceOnlyOutcome Outcome) {
+  return {Acme,  Key,     NodeId("n1"), 1,      AttemptId("a1"),
+          false, Outcome, 200,          "body", false};
+}
+
+OnceOnlyStart startOf(Fixture &F, const BeginOnceOnly &Command) {
+  return F.applyAs<OnceOnlyBegin>(Command).m_start;
+}
+
+} // namespace
+
+TEST_CASE("two changes on one base: the second is told the winner, also after "
+          "later changes") {
+  Fixture F;
+  CHECK(F.applyAs<ChangeAccepted>(ApplyDeclaration{"c1", 0, "ann", "one"})
+            .m_revision == 1);
+  F.apply(ApplyDeclaration{"c3", 1, "cy", "three"});
+  ChangeConflict Lost =
+      F.applyAs<ChangeConflict>(ApplyDeclaration{"c2", 0, "bob", "two"});
+  CHECK(Lost == ChangeConflict{"c1", "ann", 1, 2, false});
+  CHECK(F.m_state.declarationText() == "three");
+  CHECK(F.m_state.history().size() == 2);
+}
+
+TEST_CASE("a resend gets the first outcome, whatever was accepted since") {
+  Fixture F;
+  ApplyDeclaration First{"c1", 0, "ann", "one"};
+  F.apply(First);
+  F.apply(ApplyDeclaration{"c2", 1, "bob", "two"});
+  CHECK(F.applyAs<ChangeAccepted>(First) == ChangeAccepted{1, true});
+  CHECK(F.m_state.declarationText() == "two");
+  F.apply(SetDrained{"d1", {}, HostId("h1"), true});
+  F.apply(SetDrained{"d2", {}, HostId("h1"), false});
+  F.apply(SetDrained{"d1", {}, HostId("h1"), true});
+  CHECK(F.m_state.drainedHosts().empty());
+  CHECK(F.applyAs<CommandRefused>(ApplyDeclaration{"c1", 2, "ann", "other"})
+            .m_reason == RefusalReason::ChangeIdReused);
+}
+
+TEST_CASE("a declaration that fails the check changes nothing") {
+  Fixture F;
+  ApplyDeclaration Bad{"c1", 0, "ann", "bad"};
+  CHECK(F.applyAs<CommandInvalid>(Bad).m_field == "customers");
+  CHECK(F.applyAs<CommandInvalid>(Bad).m_repeated);
+  CHECK(F.m_state.revision() == 0);
+  CHECK(F.m_state.declaration() == nullptr);
+}
+
+TEST_CASE("a host enters an assignment only when it is free") {
+  Fixture F;
+  F.applyAs<CommandApplied>(SetAssignment{assignment("r1", 1, {"a", "b"}), 0});
+  auto Reason = [&](const Command &Value) {
+    return F.applyAs<CommandRefused>(Value).m_reason;
+  };
+  CHECK(Reason(SetAssignment{assignment("r2", 1, {"b", "c"}), 0}) ==
+        RefusalReason::HostOccupied);
+  // A repair leaves the replaced host departing until it is released.
+  F.applyAs<CommandApplied>(SetAssignment{assignment("r1", 2, {"a", "c"}), 1});
+  CHECK(F.m_state.departingHosts().contains(HostId("b")));
+  CHECK(Reason(SetAssignment{assignment("r2", 1, {"b"}), 0}) ==
+        RefusalReason::HostOccupied);
+  CHECK(Reason(ReleaseHost{HostId("b"), ReplicaId("r1"), 2}) ==
+        RefusalReason::GenerationMismatch);
+  F.applyAs<CommandApplied>(ReleaseHost{HostId("b"), ReplicaId("r1"), 1});
+  F.applyAs<CommandApplied>(SetAssignment{assignment("r2", 1, {"b"}), 0});
+  CHECK(F.m_state.assignmentOf(HostId("b"))->m_replica == ReplicaId("r2"));
+}
+
+TEST_CASE("an assignment is removed only from the ending phase and does not "
+          "become active again") {
+  Fixture F;
+  Assignment Value = assignment("r1", 1, {"a"});
+  F.apply(SetAssignment{Value, 0});
+  CHECK(F.applyAs<CommandRefused>(RemoveAssignment{ReplicaId("r1"), 1})
+            .m_reason == RefusalReason::WrongPhase);
+  Value.m_phase = AssignmentPhase::Ending;
+  F.applyAs<CommandApplied>(SetAssignment{Value, 1});
+  F.applyAs<CommandRefused>(SetAssignment{assignment("r1", 2, {"a"}), 1});
+  F.applyAs<CommandApplied>(RemoveAssignment{ReplicaId("r1"), 1});
+  CHECK(F.m_state.assignmentOf(HostId("a")) == nullptr);
+}
+
+TEST_CASE("changes of an outdated generation are refused, also an accepted "
+          "build that a repair has overtaken") {
+  Fixture F;
+  F.apply(SetAssignment{assignment("r1", 1, {"a"}), 0});
+  F.apply(SetAssignment{assignment("r1", 2, {"b"}), 1});
+  F.applyAs<CommandRefused>(AcceptBuild{ReplicaId("r1"), 1, "x"});
+  F.applyAs<CommandRefused>(SetAssignment{assignment("r1", 2, {"c"}), 1});
+  F.applyAs<CommandInvalid>(SetAssignment{assignment("r1", 2, {"c"}), 2});
+  F.applyAs<CommandApplied>(AcceptBuild{ReplicaId("r1"), 2, "x"});
+  CHECK(F.m_state.assignment(ReplicaId("r1"))->m_acceptedBuild == "x");
+}
+
+TEST_CASE("fence blocks do not overlap") {
+  Fixture F;
+  CHECK(F.applyAs<FencesGranted>(AdvanceFence{NodeId("n1"), 10}).m_first == 1);
+  CHECK(F.applyAs<FencesGranted>(AdvanceFence{NodeId("n2"), 10}).m_first == 11);
+}
+
+TEST_CASE("a once-only key runs once and answers a resend from its record") {
+  Fixture F;
+  CHECK(startOf(F, begin("k")) == OnceOnlyStart::Begun);
+  CHECK(startOf(F, begin("k")) == OnceOnlyStart::Known);
+  CHECK(startOf(F, begin("k", "other")) == OnceOnlyStart::OtherRequest);
+  FinishOnceOnly ByOther = finish("k", OnceOnlyOutcome::NotRun);
+  ByOther.m_node = NodeId("n2");
+  F.applyAs<CommandRefused>(ByOther);
+  ByOther.m_fromStatusQuery = true;
+  F.applyAs<CommandRefused>(ByOther);
+  F.applyAs<OnceOnlyFinish>(finish("k", OnceOnlyOutcome::Ran));
+  F.applyAs<OnceOnlyFinish>(finish("k", OnceOnlyOutcome::NotRun));
+  OnceOnlyRecord Record = F.applyAs<OnceOnlyBegin>(begin("k")).m_record;
+  CHECK(Record.m_outcome == OnceOnlyOutcome::Ran);
+  CHECK(Record.m_answerBody == "body");
+}
+
+TEST_CASE("the open calls of a lost node may have run, and it begins no "
+          "others, while its next incarnation does") {
+  Fixture F;
+  F.apply(begin("open"));
+  F.apply(begin("done"));
+  F.apply(finish("done", OnceOnlyOutcome::Ran));
+  F.apply(NodeLost{NodeId("n1"), 1});
+  CHECK(F.m_state.onceOnly(Acme, "open")->m_outcome ==
+        OnceOnlyOutcome::MayHaveRun);
+  CHECK(F.m_state.onceOnly(Acme, "done")->m_outcome == OnceOnlyOutcome::Ran);
+  CHECK(startOf(F, begin("late")) == OnceOnlyStart::NodeIsLost);
+  BeginOnceOnly Restarted = begin("late");
+  Restarted.m_nodeIncarnation = 2;
+  CHECK(startOf(F, Restarted) == OnceOnlyStart::Begun);
+  FinishOnceOnly Queried = finish("open", OnceOnlyOutcome::Ran);
+  Queried.m_node = NodeId("n3");
+  Queried.m_fromStatusQuery = true;
+  F.applyAs<OnceOnlyFinish>(Queried);
+  CHECK(F.m_state.onceOnly(Acme, "open")->m_outcome == OnceOnlyOutcome::Ran);
+}
+
+TEST_CASE("an expired key is refused for good, and log time does not go back") {
+  Fixture F;
+  F.apply(begin("k"));
+  F.advance(absl::Hours(24 * 7) - absl::Seconds(1));
+  CHECK(startOf(F, begin("k")) == OnceOnlyStart::Known);
+  F.advance(absl::Seconds(1));
+  CHECK(startOf(F, begin("k")) == OnceOnlyStart::Expired);
+  absl::Time Newest = F.m_state.logTime();
+  F.apply(Tick{Newest - absl::Hours(1)});
+  CHECK(F.m_state.logTime() == Newest);
+  F.advance(absl::Hours(24 * 365));
+  CHECK(startOf(F, begin("k")) == OnceOnlyStart::Expired);
+}
+
+TEST_CASE("at the bound on keys new calls are refused, known ones answered") {
+  Fixture F;
+  F.apply(SetLimits{{absl::Hours(1), 2, 6}});
+  F.apply(begin("a"));
+  F.advance(absl::Hours(2));
+  F.apply(begin("b"));
+  CHECK(F.m_state.onceOnlyTombstones() == 1);
+  CHECK(startOf(F, begin("c")) == OnceOnlyStart::Full);
+  CHECK(startOf(F, begin("b")) == OnceOnlyStart::Known);
+}
+
+TEST_CASE("answer bodies beyond the bound are omitted, outcomes are kept") {
+  Fixture F;
+  F.apply(SetLimits{{absl::Hours(1), 100, 6}});
+  F.apply(begin("a"));
+  F.apply(begin("b"));
+  F.apply(finish("a", OnceOnlyOutcome::Ran));
+  F.apply(finish("b", OnceOnlyOutcome::Ran));
+  CHECK_FALSE(F.m_state.onceOnly(Acme, "a")->m_bodyOmitted);
+  CHECK(F.m_state.onceOnly(Acme, "b")->m_bodyOmitted);
+  F.advance(absl::Hours(1));
+  F.apply(begin("c"));
+  F.apply(finish("c", OnceOnlyOutcome::Ran));
+  CHECK_FALSE(F.m_state.onceOnly(Acme, "c")->m_bodyOmitted);
+}
+
+TEST_CASE("a second crash refuses a request for 10 minutes; one crash reported "
+          "twice does not") {
+  Fixture F;
+  RequestIdentity Request{Acme, "d"};
+  auto State = [&] { return F.m_state.suspectState(Request); };
+  F.apply(MarkSuspects{"t1/1", {Request}});
+  F.apply(MarkSuspects{"t1/1", {Request}});
+  CHECK(State() == SuspectState::Suspect);
+  CHECK(F.m_state.suspectState({CustomerId("other"), "d"}) ==
+        SuspectState::Clear);
+  F.apply(MarkSuspects{"t2/1", {Request}});
+  CHECK(State() == SuspectState::Refused);
+  F.apply(ClearSuspect{Request});
+  CHECK(State() == SuspectState::Refused);
+  F.advance(absl::Minutes(10) - absl::Seconds(1));
+  CHECK(State() == SuspectState::Refused);
+  F.advance(absl::Seconds(1));
+  CHECK(State() == SuspectState::Suspect);
+  F.apply(MarkSuspects{"t3/1", {Request}});
+  CHECK(State() == SuspectState::Refused);
+  F.advance(absl::Hours(1));
+  CHECK(State() == SuspectState::Clear);
+}
+
+TEST_CASE("the mark of an innocent request goes when it finishes") {
+  Fixture F;
+  RequestIdentity Request{Acme, "d"};
+  F.apply(MarkSuspects{"t1/1", {Request}});
+  F.apply(ClearSuspect{Request});
+  F.apply(MarkSuspects{"t2/1", {Request}});
+  CHECK(F.m_state.suspectState(Request) == SuspectState::Suspect);
+}
+
+TEST_CASE("a replayed index and an unreadable command change nothing, and the "
+          "latter is counted") {
+  Fixture F;
+  F.apply(begin("k"));
+  std::string Before = F.m_state.snapshot();
+  CHECK(std::holds_alternative<CommandIgnored>(
+      F.m_state.apply(F.m_index, begin("other"))));
+  CHECK(F.m_state.snapshot() == Before);
+  F.m_state.applyEncoded(++F.m_index, "not a command");
+  F.apply(UnknownCommand{"introduced_later"});
+  CHECK(F.m_state.ignoredCommands() == 2);
+  CHECK(F.m_state.appliedIndex() == 3);
+}
+
+TEST_CASE("a damaged snapshot gives an error, not an exception") {
+  Fixture F;
+  F.apply(begin("k"));
+  std::string Bytes = F.m_state.snapshot();
+  for (std::size_t At = 0; At < Bytes.size(); ++At)
+    CHECK_FALSE(
+        ControlState::restore(Bytes.substr(0, At), testParser).has_value());
+}
--- /dev/null
+++ b/packages/control/turmericdyke/src/Control/CommandResult.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "turmericdyke/src/Control/Command.h"
+
+namespace turmericdyke {
+
+/// The command took effect, or had no effect to take.
+struct CommandApplied {
+  friend bool operator==(const CommandApplied &,
+                         const CommandApplied &) = default;
+};
+
+/// The command is of an unknown kind, or its log index was applied before.
+struct CommandIgnored {
+  friend bool operator==(const CommandIgnored &,
+                         const CommandIgnored &) = default;
+};
+
+/// A change by an operator was accepted. The revision is the newest one after
+/// the change.
+struct ChangeAccepted {
+  std::uint64_t m_revision = 0;
+  /// The first outcome of a change that was sent again.
+  bool m_repeated = false;
+
+  friend bool operator==(const ChangeAccepted &,
+                         const ChangeAccepted &) = default;
+};
+
+/// Another change was accepted first. The winner is the change that follows the
+/// refused change's base revision, or the newest one when that is forgotten.
+struct ChangeConflict {
+  std::string m_winnerChangeId;
+  std::string m_winnerAuthor;
+  std::uint64_t m_winnerRevision = 0;
+  /// Newest revision when the change was refused.
+  std::uint64_t m_newestRevision = 0;
+  bool m_repeated = false;
+
+  friend bool operator==(const ChangeConflict &,
+                         const ChangeConflict &) = default;
+};
+
+/// A declaration failed the check, or a field of a command is wrong.
+struct CommandInvalid {
+  std::string m_field;
+  std::string m_message;
+  bool m_repeated = false;
+
+  friend bool operator==(const CommandInvalid &,
+                         const CommandInvalid &) = default;
+};
+
+enum class RefusalReason {
+  /// The assignment is not at the expected generation.
+  GenerationMismatch,
+  /// A host or target belongs to another assignment or is departing.
+  HostOccupied,
+  /// The phase does not permit the change.
+  WrongPhase,
+  /// The change identifier was used for different content.
+  ChangeIdReused,
+  /// There is no such record, or another node or attempt owns it.
+  NotOwner,
+};
+
+struct CommandRefused {
+  RefusalReason m_reason = RefusalReason::GenerationMismatch;
+  std::string m_message;
+
+  friend bool operator==(const CommandRefused &,
+                         const CommandRefused &) = default;
+};
+
+/// Numbers `m_first` to `m_first + m_count - 1` belong to the leader that
+/// asked.
+struct FencesGranted {
+  std::uint64_t m_first = 0;
+  std::uint64_t m_count = 0;
+
+  friend bool operator==(const FencesGranted &,
+                         const FencesGranted &) = default;
+};
+
+/// What is known of a once-only call.
+struct OnceOnlyRecord {
+  std::string m_requestDigest;
+  NodeId m_node;
+  std::uint64_t m_nodeIncarnation = 0;
+  AttemptId m_attempt;
+  OnceOnlyOutcome m_outcome = OnceOnlyOutcome::InProgress;
+  std::int64_t m_answerStatus = 0;
+  std::string m_answerBody;
+  bool m_bodyOmitted = false;
+  /// Log time at which the record was committed; expiry counts from it.
+  absl::Time m_begunAt = absl::UnixEpoch();
+
+  friend bool operator==(const OnceOnlyRecord &,
+                         const OnceOnlyRecord &) = default;
+};
+
+enum class OnceOnlyStart {
+  /// The node that asked may make the call.
+  Begun,
+  /// A record with the same digest exists; it holds the outcome.
+  Known,
+  /// The record with this key has another digest; the new call did not run.
+  OtherRequest,
+  /// The record has expired; the call may have run.
+  Expired,
+  /// The bound on keys is reached; the call did not run.
+  Full,
+  /// The node process was declared lost; the call did not run.
+  NodeIsLost,
+};
+
+/// Answer to `BeginOnceOnly`. The record is set for `Begun` and `Known`.
+struct OnceOnlyBegin {
+  OnceOnlyStart m_start = OnceOnlyStart::Full;
+  OnceOnlyRecord m_record;
+
+  friend bool operator==(const OnceOnlyBegin &,
+                         const OnceOnlyBegin &) = default;
+};
+
+/// Answer to `FinishOnceOnly`: the record after the command. A final outcome is
+/// never replaced.
+struct OnceOnlyFinish {
+  OnceOnlyRecord m_record;
+
+  friend bool operator==(const OnceOnlyFinish &,
+                         const OnceOnlyFinish &) = default;
+};
+
+using CommandResult =
+    std::variant<CommandApplied, CommandIgnored, ChangeAccepted, ChangeConflict,
+                 CommandInvalid, CommandRefused, FencesGranted, OnceOnlyBegin,
+                 OnceOnlyFinish>;
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/control/turmericdyke/src/Control/ControlState.cpp
@@ -0,0 +1,168 @@
+#include "turmericdyke/src/Control/ControlState.h"
+
+#include <cassert>
+
+#include <nlohmann/json.hpp>
+
+namespace turmericdyke {
+
+namespace internal {
+
+constexpr int SnapshotFormat = 1;
+
+} // namespace internal
+
+ControlState::ControlState(DeclarationParser Parser) : m_changes(Parser) {
+  assert(Parser != nullptr && "a parser for declarations is needed");
+}
+
+CommandResult ControlState::apply(std::uint64_t Index, const Command &Value) {
+  if (Index <= m_appliedIndex)
+    return CommandIgnored{};
+  m_appliedIndex = Index;
+  return std::visit([this](const auto &Inner) { return applyTo(Inner); },
+                    Value);
+}
+
+CommandResult ControlState::applyEncoded(std::uint64_t Index,
+                                         std::string_view Bytes) {
+  Result<Command, ControlError> Decoded = decodeCommand(Bytes);
+  return apply(Index, Decoded ? Decoded.value() : Command(UnknownCommand{}));
+}
+
+CommandResult ControlState::applyTo(const UnknownCommand &) {
+  ++m_ignoredCommands;
+  return CommandIgnored{};
+}
+
+CommandResult ControlState::applyTo(const ApplyDeclaration &Value) {
+  return m_changes.apply(Value);
+}
+
+CommandResult ControlState::applyTo(const SetDrained &Value) {
+  return m_changes.apply(Value);
+}
+
+CommandResult ControlState::applyTo(const SetAssignment &Value) {
+  return m_assignments.apply(Value);
+}
+
+CommandResult ControlState::applyTo(const RemoveAssignment &Value) {
+  return m_assignments.apply(Value);
+}
+
+CommandResult ControlState::applyTo(const AcceptBuild &Value) {
+  return m_assignments.apply(Value);
+}
+
+CommandResult ControlState::applyTo(const ReleaseHost &Value) {
+  return m_assignments.apply(Value);
+}
+
+CommandResult ControlState::applyTo(const AdvanceFence &Value) {
+  FencesGranted Granted{m_nextFence, Value.m_count};
+  m_nextFence += Value.m_count;
+  return Granted;
+}
+
+CommandResult ControlState::applyTo(const BeginOnceOnly &Value) {
+  return m_onceOnly.begin(Value, m_logTime, m_limits);
+}
+
+CommandResult ControlState::applyTo(const FinishOnceOnly &Value) {
+  return m_onceOnly.finish(Value, m_limits);
+}
+
+CommandResult ControlState::applyTo(const NodeLost &Value) {
+  m_onceOnly.nodeLost(Value);
+  return CommandApplied{};
+}
+
+CommandResult ControlState::applyTo(const MarkSuspects &Value) {
+  m_suspects.apply(Value, m_logTime);
+  return CommandApplied{};
+}
+
+CommandResult ControlState::applyTo(const ClearSuspect &Value) {
+  m_suspects.apply(Value);
+  return CommandApplied{};
+}
+
+CommandResult ControlState::applyTo(const Tick &Value) {
+  // Snapshots hold microseconds; a finer time would be lost on restore.
+  absl::Time Time = absl::FromUnixMicros(absl::ToUnixMicros(Value.m_logTime));
+  if (Time <= m_logTime)
+    return CommandApplied{};
+  m_logTime = Time;
+  m_onceOnly.expire(m_logTime, m_limits);
+  m_suspects.expire(m_logTime);
+  return CommandApplied{};
+}
+
+CommandResult ControlState::applyTo(const SetLimits &Value) {
+  m_limits = Value.m_limits;
+  return CommandApplied{};
+}
+
+std::string ControlState::snapshot() const {
+  nlohmann::json Object = {
+      {"format", internal::SnapshotFormat},
+      {"applied_index", m_appliedIndex},
+      {"log_time_us", absl::ToUnixMicros(m_logTime)},
+      {"once_only_retention_us",
+       absl::ToInt64Microseconds(m_limits.m_onceOnlyRetention)},
+      {"max_once_only_keys", m_limits.m_maxOnceOnlyKeys},
+      {"max_stored_answer_bytes", m_limits.m_maxStoredAnswerBytes},
+      {"next_fence", m_nextFence},
+      {"changes", m_changes.toJson()},
+      {"assignments", m_assignments.toJson()},
+      {"once_only", m_onceOnly.toJson()},
+      {"suspects", m_suspects.toJson()}};
+  std::string Bytes;
+  nlohmann::json::to_cbor(Object, Bytes);
+  return Bytes;
+}
+
+Result<ControlState, ControlError>
+ControlState::restore(std::string_view Bytes, DeclarationParser Parser) {
+  ControlState State(Parser);
+  try {
+    nlohmann::json Object =
+        nlohmann::json::from_cbor(Bytes.begin(), Bytes.end());
+    if (Object.at("format") != internal::SnapshotFormat)
+      return failure(ControlError{"/format", "is not known to this version"});
+    State.m_appliedIndex = Object.at("applied_index");
+    State.m_logTime = absl::FromUnixMicros(Object.at("log_time_us"));
+    State.m_limits.m_onceOnlyRetention = absl::Microseconds(
+        Object.at("once_only_retention_us").get<std::int64_t>());
+    State.m_limits.m_maxOnceOnlyKeys = Object.at("max_once_only_keys");
+    State.m_limits.m_maxStoredAnswerBytes =
+        Object.at("max_stored_answer_bytes");
+    State.m_nextFence = Object.at("next_fence");
+    State.m_suspects.readJson(Object.at("suspects"));
+    if (!State.m_changes.readJson(Object.at("changes")))
+      return failure(ControlError{"/changes", "holds a wrong declaration"});
+    if (!State.m_assignments.readJson(Object.at("assignments")))
+      return failure(ControlError{"/assignments", "holds a wrong assignment"});
+    if (!State.m_onceOnly.readJson(Object.at("once_only")))
+      return failure(ControlError{"/once_only", "holds a wrong record"});
+  } catch (const nlohmann::json::exception &Error) {
+    return failure(ControlError{"", Error.what()});
+  }
+  return State;
+}
+
+void ControlState::setTestHooks(const internal::ControlTestHooks &Hooks) {
+  if (Hooks.m_skipBaseCheck)
+    m_changes.skipBaseCheck();
+  if (Hooks.m_skipOutcomes)
+    m_changes.skipOutcomes();
+  if (Hooks.m_skipHostCheck)
+    m_assignments.skipHostCheck();
+  if (Hooks.m_skipOnceOnlyRecords)
+    m_onceOnly.skipRecordCheck();
+  if (Hooks.m_skipTombstones)
+    m_onceOnly.skipTombstoneCheck();
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/control/turmericdyke/src/Control/ControlState.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "turmericdyke/src/Control/AssignmentTable.h"
+#include "turmericdyke/src/Control/ChangeLog.h"
+#include "turmericdyke/src/Control/CommandResult.h"
+#include "turmericdyke/src/Control/OnceOnlyLedger.h"
+#include "turmericdyke/src/Control/SuspectTable.h"
+
+namespace turmericdyke {
+
+namespace internal {
+
+/// Guards that tests switch off one at a time, to show that their oracle sees
+/// the fault.
+struct ControlTestHooks {
+  bool m_skipBaseCheck = false;
+  bool m_skipOutcomes = false;
+  bool m_skipHostCheck = false;
+  bool m_skipOnceOnlyRecords = false;
+  bool m_skipTombstones = false;
+};
+
+} // namespace internal
+
+/// The replicated state. Every node applies the same commands in log order and
+/// reaches the same state; nothing in it depends on a clock, a random source or
+/// the settings of a node. Not thread-safe: its owner is the control thread.
+class ControlState {
+public:
+  explicit ControlState(DeclarationParser Parser);
+
+  /// Applies the command at log index `Index`. An index that was applied before
+  /// is ignored, so that a replay after a snapshot does no harm.
+  CommandResult apply(std::uint64_t Index, const Command &Value);
+  /// The same for an encoded command. A command that cannot be read is a
+  /// counted no-op on every node, since it is committed already.
+  CommandResult applyEncoded(std::uint64_t Index, std::string_view Bytes);
+
+  /// Canonical bytes: equal states give equal bytes.
+  std::string snapshot() const;
+  static Result<ControlState, ControlError> restore(std::string_view Bytes,
+                                                    DeclarationParser Parser);
+
+  std::uint64_t appliedIndex() const { return m_appliedIndex; }
+  absl::Time logTime() const { return m_logTime; }
+  const ControlLimits &limits() const { return m_limits; }
+  /// The next number that `AdvanceFence` will give out; it only grows.
+  std::uint64_t nextFence() const { return m_nextFence; }
+  /// Commands of unknown kind or that could not be read, since the start of
+  /// this process.
+  std::uint64_t ignoredCommands() const { return m_ignoredCommands; }
+
+  /// Revision 0 and null before the first declaration.
+  std::uint64_t revision() const { return m_changes.revision(); }
+  std::shared_ptr<const Declaration> declaration() const {
+    return m_changes.declaration();
+  }
+  const std::string &declarationText() const {
+    return m_changes.declarationText();
+  }
+  /// Accepted declarations, oldest first, the last 20,000.
+  const std::deque<RevisionRecord> &history() const {
+    return m_changes.history();
+  }
+  const std::set<TargetId> &drainedTargets() const {
+    return m_changes.drainedTargets();
+  }
+  const std::set<HostId> &drainedHosts() const {
+    return m_changes.drainedHosts();
+  }
+
+  /// Null when there is none.
+  std::shared_ptr<const Assignment> assignment(const ReplicaId &Id) const {
+    return m_assignments.find(Id);
+  }
+  std::shared_ptr<const Assignment> assignmentOf(const HostId &Host) const {
+    return m_assignments.findByHost(Host);
+  }
+  const std::map<ReplicaId, std::shared_ptr<const Assignment>> &
+  assignments() const {
+    return m_assignments.all();
+  }
+  const std::map<HostId, DepartingMember> &departingHosts() const {
+    return m_assignments.departing();
+  }
+
+  /// Null when there is no record. The pointer is valid until the next apply.
+  const OnceOnlyRecord *onceOnly(const CustomerId &Customer,
+                                 std::string_view Key) const {
+    return m_onceOnly.find(Customer, Key);
+  }
+  /// Whether the record of this key has expired, so that the call may have run.
+  bool onceOnlyExpired(const CustomerId &Customer, std::string_view Key) const {
+    return m_onceOnly.hasTombstone(Customer, Key);
+  }
+  std::size_t onceOnlyRecords() const { return m_onceOnly.recordCount(); }
+  std::size_t onceOnlyTombstones() const { return m_onceOnly.tombstoneCount(); }
+
+  SuspectState suspectState(const RequestIdentity &Request) const {
+    return m_suspects.stateOf(Request);
+  }
+  /// Log time at which the refusal of a request ends.
+  std::optional<absl::Time> refusedUntil(const RequestIdentity &Request) const {
+    return m_suspects.refusedUntil(Request);
+  }
+
+  void setTestHooks(const internal::ControlTestHooks &Hooks);
+
+private:
+  CommandResult applyTo(const UnknownCommand &Value);
+  CommandResult applyTo(const ApplyDeclaration &Value);
+  CommandResult applyTo(const SetDrained &Value);
+  CommandResult applyTo(const SetAssignment &Value);
+  CommandResult applyTo(const RemoveAssignment &Value);
+  CommandResult applyTo(const AcceptBuild &Value);
+  CommandResult applyTo(const ReleaseHost &Value);
+  CommandResult applyTo(const AdvanceFence &Value);
+  CommandResult applyTo(const BeginOnceOnly &Value);
+  CommandResult applyTo(const FinishOnceOnly &Value);
+  CommandResult applyTo(const NodeLost &Value);
+  CommandResult applyTo(const MarkSuspects &Value);
+  CommandResult applyTo(const ClearSuspect &Value);
+  CommandResult applyTo(const Tick &Value);
+  CommandResult applyTo(const SetLimits &Value);
+
+  std::uint64_t m_appliedIndex = 0;
+  absl::Time m_logTime = absl::UnixEpoch();
+  ControlLimits m_limits;
+  std::uint64_t m_nextFence = 1;
+  std::uint64_t m_ignoredCommands = 0;
+  internal::ChangeLog m_changes;
+  internal::AssignmentTable m_assignments;
+  internal::OnceOnlyLedger m_onceOnly;
+  internal::SuspectTable m_suspects;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/control/turmericdyke/src/Control/SuspectTable.cpp
@@ -0,0 +1,115 @@
+#include "turmericdyke/src/Control/SuspectTable.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace turmericdyke::internal {
+
+namespace {
+
+constexpr absl::Duration RefusalPeriod = absl::Minutes(10);
+// A caller may resend long after the crash. The mark outlasts the refusal, so
+// that a request that crashes targets again after it loses one target, not two.
+constexpr absl::Duration MarkRetention = absl::Hours(1);
+// About 20 MB; a crash marks at most the requests of one replica.
+constexpr std::size_t MaxMarks = 100'000;
+constexpr std::size_t CrashesUntilRefusal = 2;
+
+nlohmann::json bytes(std::string_view Text) {
+  return nlohmann::json::binary({Text.begin(), Text.end()});
+}
+
+} // namespace
+
+void SuspectTable::setExpiry(const RequestIdentity &Request, Mark &Value,
+                             absl::Time At) {
+  m_byExpiry.erase({Value.m_expiresAt, Request});
+  Value.m_expiresAt = At;
+  m_byExpiry.insert({At, Request});
+}
+
+void SuspectTable::apply(const MarkSuspects &Command, absl::Time LogTime) {
+  for (const RequestIdentity &Request : Command.m_requests) {
+    Mark &Value = m_marks[Request];
+    auto &Crashes = Value.m_crashes;
+    if (std::find(Crashes.begin(), Crashes.end(), Command.m_crashId) !=
+        Crashes.end())
+      continue;
+    if (Crashes.size() == CrashesUntilRefusal)
+      Crashes.erase(Crashes.begin());
+    Crashes.push_back(Command.m_crashId);
+    if (Crashes.size() == CrashesUntilRefusal)
+      Value.m_refusedUntil = LogTime + RefusalPeriod;
+    setExpiry(Request, Value, LogTime + MarkRetention);
+  }
+  while (m_marks.size() > MaxMarks) {
+    m_marks.erase(m_byExpiry.begin()->second);
+    m_byExpiry.erase(m_byExpiry.begin());
+  }
+}
+
+void SuspectTable::apply(const ClearSuspect &Command) {
+  auto Found = m_marks.find(Command.m_request);
+  // A run that ended well before the second crash says nothing about it.
+  if (Found == m_marks.end() || Found->second.m_refusedUntil > m_logTime)
+    return;
+  m_byExpiry.erase({Found->second.m_expiresAt, Command.m_request});
+  m_marks.erase(Found);
+}
+
+void SuspectTable::expire(absl::Time LogTime) {
+  m_logTime = LogTime;
+  while (!m_byExpiry.empty() && m_byExpiry.begin()->first <= LogTime) {
+    m_marks.erase(m_byExpiry.begin()->second);
+    m_byExpiry.erase(m_byExpiry.begin());
+  }
+}
+
+SuspectState SuspectTable::stateOf(const RequestIdentity &Request) const {
+  auto Found = m_marks.find(Request);
+  if (Found == m_marks.end())
+    return SuspectState::Clear;
+  return Found->second.m_refusedUntil > m_logTime ? SuspectState::Refused
+                                                  : SuspectState::Suspect;
+}
+
+std::optional<absl::Time>
+SuspectTable::refusedUntil(const RequestIdentity &Request) const {
+  if (stateOf(Request) != SuspectState::Refused)
+    return std::nullopt;
+  return m_marks.at(Request).m_refusedUntil;
+}
+
+nlohmann::json SuspectTable::toJson() const {
+  nlohmann::json Marks = nlohmann::json::array();
+  for (const auto &[Request, Value] : m_marks) {
+    bool WasRefused = Value.m_refusedUntil != absl::InfinitePast();
+    Marks.push_back(
+        {{"customer", Request.m_customer.str()},
+         {"digest", bytes(Request.m_digest)},
+         {"crashes", Value.m_crashes},
+         {"refused_until_us",
+          WasRefused ? nlohmann::json(absl::ToUnixMicros(Value.m_refusedUntil))
+                     : nlohmann::json()},
+         {"expires_us", absl::ToUnixMicros(Value.m_expiresAt)}});
+  }
+  return {{"marks", std::move(Marks)},
+          {"log_time_us", absl::ToUnixMicros(m_logTime)}};
+}
+
+void SuspectTable::readJson(const nlohmann::json &Value) {
+  m_logTime = absl::FromUnixMicros(Value.at("log_time_us"));
+  for (const nlohmann::json &Entry : Value.at("marks")) {
+    const nlohmann::json::binary_t &Digest = Entry.at("digest").get_binary();
+    RequestIdentity Request{CustomerId(Entry.at("customer").get<std::string>()),
+                            {Digest.begin(), Digest.end()}};
+    Mark &Read = m_marks[Request];
+    Read.m_crashes = Entry.at("crashes").get<std::vector<std::string>>();
+    if (!Entry.at("refused_until_us").is_null())
+      Read.m_refusedUntil = absl::FromUnixMicros(Entry["refused_until_us"]);
+    setExpiry(Request, Read, absl::FromUnixMicros(Entry.at("expires_us")));
+  }
+}
+
+} // namespace turmericdyke::internal
