--- a/packages/consensus/test/Cluster.cpp
+++ b/packages/consensus/test/Cluster.cpp
@@ -329,18 +329,26 @@
   }
 }
 
+/// Whether the set has none or at least 3 voters, all with their identity.
+bool Cluster::hasAllDisks(const VoterSet &Voters) const {
+  std::size_t Count = Voters.m_voters.size();
+  return Count != 1 && Count != 2 &&
+         std::all_of(
+             Voters.m_voters.begin(), Voters.m_voters.end(),
+             [&](const Voter &Each) {
+               return m_members[indexOf(Each.m_node)].m_disk.m_identity ==
+                      Each.m_identity;
+             });
+}
+
 /// More than a lost minority loses committed entries by definition, so a disk
-/// is lost only while all committed voters still have theirs.
+/// is lost only while no other lost one is in any voter set, committed or not.
 void Cluster::loseDisk(std::size_t At) {
   Member &M = m_members[At];
   if (!M.m_hasDirectory)
     return;
-  for (const Voter &Member : m_committedVoters.m_voters)
-    if (m_members[indexOf(Member.m_node)].m_disk.m_identity !=
-        Member.m_identity)
-      return;
-  for (const auto &Other : m_members)
-    if (Other.m_raft == nullptr || Other.m_raft->voters().m_voters.size() == 2)
+  for (const Member &Other : m_members)
+    if (Other.m_raft == nullptr || !hasAllDisks(Other.m_raft->voters()))
       return;
   if (m_committedVoters.m_voters.size() < 3)
     return;
--- a/packages/consensus/test/Cluster.h
+++ b/packages/consensus/test/Cluster.h
@@ -101,6 +101,7 @@
   bool runs(const Member &M) const;
   std::size_t indexOf(const NodeId &Node) const;
   VoterSet wanted() const;
+  bool hasAllDisks(const VoterSet &Voters) const;
   void step();
   void deliver();
   void perform(Member &M);
--- a/packages/consensus/turmericdyke/src/Consensus/Raft.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/Raft.cpp
@@ -42,7 +42,7 @@
     return;
   if (isLeader())
     tickLeader(Now, Random);
-  else if (Now >= m_electionDeadline && isVoter())
+  else if (Now >= m_electionDeadline && mayLead())
     startPreVote(Now, Random);
 }
 
--- a/packages/consensus/turmericdyke/src/Consensus/Raft.h
+++ b/packages/consensus/turmericdyke/src/Consensus/Raft.h
@@ -118,6 +118,7 @@
   void onVoteRequest(Instant, const RaftMessage &, absl::BitGenRef);
   void onVoteResponse(Instant, const RaftMessage &, absl::BitGenRef);
   void onTimeoutNow(Instant, const RaftMessage &, absl::BitGenRef);
+  bool mayLead() const;
   bool maySupport(Instant Now, const RaftMessage &Request) const;
   bool promisedToLeader(Instant Now) const;
   bool logIsUpToDate(const RaftMessage &Request) const;
--- a/packages/consensus/turmericdyke/src/Consensus/RaftElection.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftElection.cpp
@@ -7,6 +7,17 @@
 
 namespace turmericdyke {
 
+/// A node whose removal is not committed may still be the only one with the
+/// newest entries. It leads without counting itself until the removal is
+/// committed.
+bool Raft::mayLead() const {
+  if (isVoter())
+    return true;
+  LogIndex Changed = m_log.votersIndex();
+  return !m_failed && !m_hardState.m_identityRevoked && Changed > m_commit &&
+         Changed > 0 && m_log.votersAt(Changed - 1).contains(m_self);
+}
+
 void Raft::startPreVote(Instant Now, absl::BitGenRef Random) {
   m_role = RaftRole::PreCandidate;
   m_leader = NodeId();
@@ -28,7 +39,9 @@
 
 void Raft::requestVotes(RaftMessageKind Kind, Term Wanted, bool Transfer) {
   ++m_candidacy;
-  m_votes = {m_self.m_node};
+  m_votes.clear();
+  if (voters().contains(m_self))
+    m_votes.insert(m_self.m_node);
   RaftMessage Request;
   Request.m_kind = Kind;
   Request.m_term = Wanted;
@@ -134,7 +147,7 @@
 
 void Raft::onTimeoutNow(Instant Now, const RaftMessage &Request,
                         absl::BitGenRef Random) {
-  if (Request.m_term == term() && !isLeader() && isVoter())
+  if (Request.m_term == term() && !isLeader() && mayLead())
     startElection(Now, true, Random);
 }
 
