--- a/packages/consensus/turmericdyke/src/Consensus/RaftLog.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftLog.cpp
@@ -5,6 +5,8 @@
 
 namespace turmericdyke::internal {
 
+namespace {
+
 /// Approximate bytes of an entry besides its command in a message.
 constexpr std::size_t EntryOverheadBytes = 32;
 
@@ -19,6 +21,8 @@
   return true;
 }
 
+} // namespace
+
 RaftLog::RaftLog(Snapshot Base, std::vector<LogEntry> Entries) {
   reset(std::move(Base));
   if (!continuesSnapshot(m_snapshot, Entries))
--- a/packages/consensus/turmericdyke/src/Consensus/RaftOptions.h
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftOptions.h
@@ -34,10 +34,10 @@
   absl::Duration m_leaderLease = absl::Milliseconds(800);
   /// An append message carries at least one entry, whatever its size.
   std::size_t m_maxEntriesPerMessage = 256;
-  std::size_t m_maxBytesPerMessage = 256 * 1024;
+  std::size_t m_maxBytesPerMessage = std::size_t{256} * 1024;
   /// Append messages with entries that may be unanswered per follower.
   std::size_t m_maxInflightMessages = 4;
-  std::size_t m_maxCommandBytes = 4 * 1024 * 1024;
+  std::size_t m_maxCommandBytes = std::size_t{4} * 1024 * 1024;
   /// Entries kept in memory before a snapshot, so that a follower that is
   /// slightly behind does not need the snapshot.
   std::size_t m_retainedEntries = 1024;
--- a/packages/consensus/turmericdyke/src/Consensus/RaftState.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftState.cpp
@@ -8,6 +8,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 std::vector<Voter> difference(const VoterSet &From, const VoterSet &Without) {
   std::vector<Voter> Rest;
@@ -23,6 +24,7 @@
 
 bool sameNode(const Voter &A, const Voter &B) { return A.m_node == B.m_node; }
 
+} // namespace
 } // namespace internal
 
 bool VoterSet::contains(const Voter &Candidate) const {
--- a/packages/consensus/turmericdyke/src/Consensus/RaftState.h
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftState.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "turmericdyke/src/Base/StringId.h"
@@ -23,7 +23,11 @@
   NodeId m_node;
   std::string m_identity;
 
-  friend auto operator<=>(const Voter &, const Voter &) = default;
+  /// Not defaulted, as clang-tidy 14 reports the code that the compiler
+  /// generates for a defaulted comparison.
+  friend bool operator<(const Voter &A, const Voter &B) {
+    return std::tie(A.m_node, A.m_identity) < std::tie(B.m_node, B.m_identity);
+  }
   friend bool operator==(const Voter &, const Voter &) = default;
 };
 
--- a/packages/storage/turmericdyke/src/Storage/DataDirectory.cpp
+++ b/packages/storage/turmericdyke/src/Storage/DataDirectory.cpp
@@ -13,6 +13,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::string_view LockFile = "lock";
 constexpr std::string_view FormatFile = "format";
@@ -62,6 +63,7 @@
   return Value;
 }
 
+} // namespace
 } // namespace internal
 
 using internal::damage;
--- a/packages/storage/turmericdyke/src/Storage/Directory.cpp
+++ b/packages/storage/turmericdyke/src/Storage/Directory.cpp
@@ -15,9 +15,13 @@
 
 namespace turmericdyke::internal {
 
+namespace {
+
 constexpr mode_t DirectoryMode = 0700;
 constexpr mode_t FileMode = 0600;
 
+} // namespace
+
 Descriptor::Descriptor(Descriptor &&Other) noexcept
     : m_number(std::exchange(Other.m_number, -1)) {}
 
--- a/packages/storage/turmericdyke/src/Storage/RecordCodec.cpp
+++ b/packages/storage/turmericdyke/src/Storage/RecordCodec.cpp
@@ -13,6 +13,8 @@
 
 using nlohmann::json;
 
+namespace {
+
 void appendNumber(std::uint32_t Value, std::string &Out) {
   for (int Shift = 0; Shift < 32; Shift += 8)
     Out.push_back(static_cast<char>(Value >> Shift & 0xff));
@@ -25,32 +27,6 @@
   return Value;
 }
 
-void appendRecord(std::string_view Payload, std::string &Out) {
-  assert(Payload.size() <= std::numeric_limits<std::uint32_t>::max() &&
-         "a record holds less than 4 GiB");
-  std::string Length;
-  appendNumber(static_cast<std::uint32_t>(Payload.size()), Length);
-  Out += Length;
-  appendNumber(crc32c(Length), Out);
-  appendNumber(crc32c(Payload), Out);
-  Out += Payload;
-}
-
-ReadRecord readRecord(std::string_view Bytes) {
-  if (Bytes.size() < RecordHeaderBytes)
-    return {RecordStatus::Incomplete, {}};
-  std::string_view Length = Bytes.substr(0, 4);
-  if (readNumber(Bytes.substr(4)) != crc32c(Length))
-    return {RecordStatus::Damaged, {}};
-  std::string_view Payload = Bytes.substr(RecordHeaderBytes);
-  if (Payload.size() < readNumber(Length))
-    return {RecordStatus::Incomplete, {}};
-  Payload = Payload.substr(0, readNumber(Length));
-  if (readNumber(Bytes.substr(8)) != crc32c(Payload))
-    return {RecordStatus::Damaged, {}};
-  return {RecordStatus::Complete, Payload};
-}
-
 json binary(std::string_view Bytes) {
   return json::binary(std::vector<std::uint8_t>(Bytes.begin(), Bytes.end()));
 }
@@ -95,6 +71,34 @@
   return Voters;
 }
 
+} // namespace
+
+void appendRecord(std::string_view Payload, std::string &Out) {
+  assert(Payload.size() <= std::numeric_limits<std::uint32_t>::max() &&
+         "a record holds less than 4 GiB");
+  std::string Length;
+  appendNumber(static_cast<std::uint32_t>(Payload.size()), Length);
+  Out += Length;
+  appendNumber(crc32c(Length), Out);
+  appendNumber(crc32c(Payload), Out);
+  Out += Payload;
+}
+
+ReadRecord readRecord(std::string_view Bytes) {
+  if (Bytes.size() < RecordHeaderBytes)
+    return {RecordStatus::Incomplete, {}};
+  std::string_view Length = Bytes.substr(0, 4);
+  if (readNumber(Bytes.substr(4)) != crc32c(Length))
+    return {RecordStatus::Damaged, {}};
+  std::string_view Payload = Bytes.substr(RecordHeaderBytes);
+  if (Payload.size() < readNumber(Length))
+    return {RecordStatus::Incomplete, {}};
+  Payload = Payload.substr(0, readNumber(Length));
+  if (readNumber(Bytes.substr(8)) != crc32c(Payload))
+    return {RecordStatus::Damaged, {}};
+  return {RecordStatus::Complete, Payload};
+}
+
 std::string encodeEntry(const LogEntry &Entry) {
   return encode(
       json::array({Entry.m_index, Entry.m_term, static_cast<int>(Entry.m_kind),
--- a/packages/storage/turmericdyke/src/Storage/SegmentedLog.cpp
+++ b/packages/storage/turmericdyke/src/Storage/SegmentedLog.cpp
@@ -13,12 +13,16 @@
 
 namespace turmericdyke::internal {
 
+namespace {
+
 constexpr std::string_view SegmentPrefix = "log-";
 
 std::string segmentName(std::uint64_t Number) {
   return fmt::format("{}{:020}", SegmentPrefix, Number);
 }
 
+} // namespace
+
 Result<void, StorageError>
 SegmentedLog::findSegments(const Directory &Files,
                            const std::vector<std::string> &Names) {
