--- a/packages/declaration/test/DeclarationParserTest.cpp
+++ b/packages/declaration/test/DeclarationParserTest.cpp
@@ -217,6 +217,7 @@
   CHECK(Read.value() == Declaration());
   CHECK_FALSE(parseDeclarationJson("").has_value());
   CHECK_FALSE(parseDeclarationYaml("# nothing\n", "a").has_value());
+  CHECK(errorOf(":").find("a.yaml:1: \"\": found an unknown") == 0);
 }
 
 TEST_CASE("JSON is checked like YAML, duplicate names included") {
--- a/packages/declaration/turmericdyke/src/Declaration/FieldReader.cpp
+++ b/packages/declaration/turmericdyke/src/Declaration/FieldReader.cpp
@@ -45,7 +45,9 @@
   }
   for (const DocumentNode &Entry : Node.m_entries)
     if (std::find(Allowed.begin(), Allowed.end(), Entry.m_key) == Allowed.end())
-      Sink.fail(Entry.m_line, path(printable(Entry.m_key)), "an unknown field",
+      Sink.fail(Entry.m_line,
+                path(Entry.m_key.empty() ? "\"\"" : printable(Entry.m_key)),
+                "an unknown field",
                 fmt::format("{}", fmt::join(Allowed, ", ")));
 }
 
