--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -30,10 +30,12 @@
   endforeach()
 endfunction()
 
-# Defines the library of a package: turmericdyke_package(NAME [USES packages...] [LINKS libraries...]).
+# Defines the library of a package:
+# turmericdyke_package(NAME [USES packages...] [LINKS libraries...] [TEST_USES packages...]).
 # Sources are all turmericdyke/src/*/*.cpp; tests are test/*.cpp, built into one program a package.
+# TEST_USES names packages that only the tests and the bench link, and that the library may not use.
 function(turmericdyke_package NAME)
-  cmake_parse_arguments(P "" "" "USES;LINKS" ${ARGN})
+  cmake_parse_arguments(P "" "" "USES;LINKS;TEST_USES" ${ARGN})
   turmericdyke_check_dependencies(${NAME} ${P_USES})
   file(GLOB Sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/turmericdyke/src/*/*.cpp)
   if(Sources)
@@ -48,6 +50,9 @@
     target_link_libraries(td_${NAME} ${Visibility} td_${Dependency})
   endforeach()
   target_link_libraries(td_${NAME} ${Visibility} ${P_LINKS})
+  set(TURMERICDYKE_TEST_USES ${P_TEST_USES})
+  list(TRANSFORM TURMERICDYKE_TEST_USES PREPEND td_)
+  set(TURMERICDYKE_TEST_USES ${TURMERICDYKE_TEST_USES} PARENT_SCOPE)
   turmericdyke_package_tests(${NAME})
 endfunction()
 
@@ -57,7 +62,7 @@
   file(GLOB Tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
   if(Tests)
     add_executable(${NAME}_test ${Tests})
-    target_link_libraries(${NAME}_test PRIVATE td_${NAME} td_test_main rapidcheck)
+    target_link_libraries(${NAME}_test PRIVATE td_${NAME} ${TURMERICDYKE_TEST_USES} td_test_main rapidcheck)
     add_test(NAME ${NAME} COMMAND ${NAME}_test --no-version=true)
     set_tests_properties(${NAME} PROPERTIES TIMEOUT 240
       ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=100 noshrink=0")
@@ -70,3 +75,11 @@
     add_test(NAME ${NAME}_doc_${ExampleName} COMMAND ${NAME}_doc_${ExampleName})
   endforeach()
 endfunction()
+
+# Builds bench/*.cpp of the current package into NAME_bench, which is neither a test nor installed.
+function(turmericdyke_package_bench NAME)
+  file(GLOB Sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/bench/*.cpp)
+  add_executable(${NAME}_bench ${Sources})
+  target_include_directories(${NAME}_bench PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  target_link_libraries(${NAME}_bench PRIVATE td_${NAME} ${TURMERICDYKE_TEST_USES} gflags)
+endfunction()
--- /dev/null
+++ b/packages/formation/turmericdyke/src/Formation/Planner.cpp
@@ -0,0 +1,25 @@
+#include "turmericdyke/src/Formation/Planner.h"
+
+#include "turmericdyke/src/Formation/PlanBuilder.h"
+
+namespace turmericdyke {
+
+Planner::Planner(PlannerOptions Options, FormationStrategy Strategy)
+    : m_options(Options), m_strategy(Strategy), m_history(Options) {}
+
+Plan Planner::plan(Instant Now, const PlannerInput &Input) {
+  m_history.observe(Now, Input.m_targets);
+  m_orders.start(Now, Input.m_fences);
+  internal::PlanBuilder Builder(
+      Now, Input,
+      {m_options, m_strategy, m_hooks, m_history, m_orders, m_endingSince});
+  return Builder.build();
+}
+
+void Planner::setTestHooks(const internal::PlannerTestHooks &Hooks) {
+  m_hooks = Hooks;
+  if (Hooks.m_repeatFences)
+    m_orders.repeatFences();
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/formation/turmericdyke/src/Formation/ReplicaPredicate.cpp
@@ -0,0 +1,57 @@
+#include "turmericdyke/src/Formation/ReplicaPredicate.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "turmericdyke/src/Formation/PlannerOptions.h"
+
+namespace turmericdyke {
+
+bool memberEchoes(const Assignment &Value, std::size_t Rank,
+                  const TargetView &View, Instant Now) {
+  assert(Rank < Value.m_members.size() && "the rank must exist");
+  if (View.m_announcement == nullptr || Now - View.m_lastHeard > FreshnessBound)
+    return false;
+  const TargetAnnouncement &Said = *View.m_announcement;
+  const AssignedMember &Member = Value.m_members[Rank];
+  return Said.m_target == Member.m_target && Said.m_host == Member.m_host &&
+         Said.m_incarnation == Member.m_incarnation &&
+         Said.m_fabricDomain == Value.m_fabricDomain &&
+         Said.m_membership.m_replica == Value.m_replica &&
+         Said.m_membership.m_generation == Value.m_generation &&
+         Said.m_membership.m_rank == static_cast<std::int64_t>(Rank) &&
+         Said.m_spec == Value.m_spec;
+}
+
+bool memberConfirms(const Assignment &Value, std::size_t Rank,
+                    const TargetView &View, Instant Now) {
+  return memberEchoes(Value, Rank, View, Now) &&
+         View.m_announcement->m_state == TargetState::Ready &&
+         !Value.m_acceptedBuild.empty() &&
+         View.m_announcement->m_engineBuild == Value.m_acceptedBuild;
+}
+
+bool replicaServes(const Assignment &Value, TargetLookup Lookup, Instant Now) {
+  if (Value.m_phase != AssignmentPhase::Active || Value.m_members.empty())
+    return false;
+  for (std::size_t Rank = 0; Rank < Value.m_members.size(); ++Rank)
+    if (!memberConfirms(Value, Rank, Lookup(Value.m_members[Rank].m_target),
+                        Now))
+      return false;
+  return true;
+}
+
+bool isReleased(const AssignedMember &Member, const TargetView &View,
+                Instant ObservingSince, Instant Now) {
+  Instant Heard = std::max(View.m_lastHeard, ObservingSince);
+  if (Now - Heard >= ReleaseSilence)
+    return true;
+  if (View.m_announcement == nullptr)
+    return false;
+  const TargetAnnouncement &Said = *View.m_announcement;
+  if (Said.m_incarnation != Member.m_incarnation)
+    return Said.m_incarnation > Member.m_incarnation;
+  return Said.m_membership.m_replica.empty();
+}
+
+} // namespace turmericdyke
