--- /dev/null
+++ b/packages/routing/turmericdyke/src/Routing/WeightedStrategy.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "turmericdyke/src/Routing/RoutingStrategy.h"
+
+namespace turmericdyke {
+
+struct WeightedOptions {
+  /// Candidates drawn at random for each request. One more, the one with the
+  /// longest cached prefix, is compared with them.
+  std::size_t m_choices = 2;
+  /// Work of one long request in units of a short one. It holds its slot about
+  /// this much longer, but slots fill one by one, so the value stays small.
+  double m_longWork = 2;
+  /// Age at which a report has lost half of its weight to the pool's mean. One
+  /// report interval of the engines is 500 ms.
+  absl::Duration m_reportHalfLife = absl::Seconds(1);
+  /// Largest bonus for a cached prefix, in filled slots as a share of all. The
+  /// bound keeps a popular prefix from overloading one replica.
+  double m_prefixBonus = 0.25;
+};
+
+/// The product's strategy: work per slot, divided by the observed speed, less a
+/// bounded bonus for a cached prefix; the lowest score among a few candidates
+/// drawn at random wins. Reports lose weight with age in favour of the pool's
+/// mean, because a replica with an old report is not known to be idle.
+class WeightedStrategy : public RoutingStrategy {
+public:
+  explicit WeightedStrategy(WeightedOptions Options = {});
+
+  std::optional<std::size_t> choose(Instant Now,
+                                    absl::Span<const Candidate> Candidates,
+                                    const RouteRequest &Request,
+                                    absl::BitGenRef Random) override;
+
+  /// Score of a candidate; lower is better. `MeanOthers` is the mean work of
+  /// other nodes per replica of the pool.
+  double score(const Candidate &C, double MeanOthers) const;
+
+private:
+  double othersWork(const Candidate &C) const;
+  double meanOthers(absl::Span<const Candidate> Candidates) const;
+
+  WeightedOptions m_options;
+};
+
+} // namespace turmericdyke
