--- /dev/null
+++ b/packages/fleet/turmericdyke/src/Fleet/TargetDigest.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "turmericdyke/src/Fleet/TargetAnnouncement.h"
+
+namespace turmericdyke {
+
+/// Most targets that one node vouches for, and so the most entries of a
+/// digest. At about 600 bytes an entry a digest stays under 2.5 MB.
+inline constexpr std::size_t MaxDigestEntries = 4096;
+
+/// Unit of `TargetDigest::m_ages`, in milliseconds.
+inline constexpr std::int64_t DigestAgeUnitMs = 20;
+
+/// The full announcement of one target, with its age at the time of sending.
+struct DigestEntry {
+  /// Index of the target in `TargetDigest::m_ages`, from now on.
+  std::uint64_t m_slot = 0;
+  std::int64_t m_ageUs = 0;
+  TargetAnnouncement m_announcement;
+};
+
+/// What one node tells another about the targets it vouches for: the changed
+/// ones in full, and the age of all by slot.
+struct TargetDigest {
+  NodeId m_from;
+  /// Incarnation of the sending process.
+  std::uint64_t m_incarnation = 0;
+  /// Grows by one with each digest of changes. A receiver that finds a gap
+  /// asks for a full digest, and until it arrives uses no ages.
+  std::uint64_t m_sequence = 0;
+  /// Lists all vouched targets, as of `m_sequence`.
+  bool m_full = false;
+  /// Asks the receiver for its full digest. Such a digest carries no entries
+  /// and no sequence of its own.
+  bool m_requestFull = false;
+  /// Sender's clock at sending, in microseconds.
+  std::int64_t m_sentAtUs = 0;
+  /// The newest `m_sentAtUs` that the sender has from the receiver, of the
+  /// receiver's incarnation below (0: none), and for how long the sender has
+  /// held it. The receiver bounds the delay of this digest by it.
+  std::int64_t m_echoUs = 0;
+  std::int64_t m_echoHeldUs = 0;
+  std::uint64_t m_echoIncarnation = 0;
+  std::vector<DigestEntry> m_entries;
+  /// One byte a slot: age in units of 20 ms, rounded up; 255 when the slot is
+  /// unused or its age does not fit.
+  std::string m_ages;
+};
+
+nlohmann::json toJson(const TargetDigest &Digest);
+
+/// Reads a digest. Unknown fields are ignored; wrong types, a missing sender,
+/// negative ages, too many entries and malformed announcements are errors.
+Result<TargetDigest, FleetError> parseTargetDigest(const nlohmann::json &Value);
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/peer/turmericdyke/src/Peer/ClientHandshake.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "turmericdyke/src/Peer/Handshake.h"
+
+namespace turmericdyke {
+
+/// The connecting side of the handshake: sends `hello`, checks that the reply
+/// proves the cluster secret, and then proves it itself.
+class ClientHandshake {
+public:
+  /// `Nonce` is 32 random bytes that were never used before.
+  ClientHandshake(PeerIdentity Own, std::string Secret, std::string Nonce);
+
+  const std::string &hello() const { return m_hello; }
+
+  /// Checks the server's reply and returns the proof to send. `Expected` is
+  /// the node that should answer, empty if any may.
+  Result<std::string, PeerError> acceptReply(std::string_view Reply,
+                                             const NodeId &Expected);
+
+  /// The server's identity and the agreed version, after `acceptReply`.
+  const PeerIdentity &remote() const { return m_remote; }
+  std::uint64_t version() const { return m_version; }
+
+private:
+  PeerIdentity m_own;
+  std::string m_secret;
+  std::string m_hello;
+  PeerIdentity m_remote;
+  std::uint64_t m_version = 0;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/peer/turmericdyke/src/Peer/OutgoingPeer.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "turmericdyke/src/Peer/ClientHandshake.h"
+#include "turmericdyke/src/Peer/Http2Connection.h"
+#include "turmericdyke/src/Peer/SendQueue.h"
+#include "turmericdyke/src/Peer/TransportContext.h"
+
+namespace turmericdyke::internal {
+
+/// Keeps a connection to one address while there is something to send, and
+/// sends the queued messages over it once the handshake has succeeded.
+class OutgoingPeer : public Http2Listener {
+public:
+  OutgoingPeer(TransportContext &Context, std::string Address,
+               std::shared_ptr<SendQueue> Queue, Instant Now);
+
+  /// Connects, pings, replaces and submits as due.
+  void tick(Instant Now);
+  /// Reads and writes after `poll` has reported the socket.
+  void serve(Instant Now, bool Readable);
+  /// When `tick` is due next.
+  Instant deadline() const;
+  /// Moves the PING deadline after the thread itself did not run for `By`.
+  void forgive(absl::Duration By);
+
+  /// The socket to poll, or negative.
+  int socket() const;
+  bool wantsWrite() const;
+  /// Whether queue and connection hold nothing unconfirmed.
+  bool isDrained() const;
+  /// Whether nothing was sent for the idle time.
+  bool isIdle(Instant Now) const;
+
+private:
+  enum class Stage { Closed, AwaitReply, AwaitConfirmation, Ready };
+
+  void onRequest(std::int32_t, std::string_view, std::string) override {}
+  void onResponse(std::int32_t Stream, int Status, std::string Body) override;
+  void onPingAnswer() override { m_pingAnswered = true; }
+  void onOversized() override;
+
+  void connect(Instant Now);
+  void submitQueued(Instant Now);
+  void acceptReply(int Status, std::string_view Body);
+  /// Closes the connection; the next attempt follows after the backoff, or at
+  /// once for a replacement.
+  void close(Instant Now, bool AtOnce);
+  void flush(Instant Now);
+
+  TransportContext &m_context;
+  std::string m_address;
+  std::shared_ptr<SendQueue> m_queue;
+  std::unique_ptr<Http2Connection> m_connection;
+  std::optional<ClientHandshake> m_handshake;
+  Stage m_stage = Stage::Closed;
+  bool m_failed = false;
+  bool m_pingAnswered = false;
+  bool m_justReady = false;
+  std::size_t m_inFlightBytes = 0;
+  std::map<std::int32_t, std::size_t> m_inFlight;
+  absl::Duration m_backoff;
+  Instant m_nextAttempt;
+  Instant m_handshakeDeadline;
+  Instant m_nextPing;
+  Instant m_lastPingAnswer;
+  Instant m_lastUse;
+};
+
+} // namespace turmericdyke::internal
--- /dev/null
+++ b/packages/peer/turmericdyke/src/Peer/PeerTransport.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <atomic>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Base/Result.h"
+#include "turmericdyke/src/Peer/PeerCounters.h"
+#include "turmericdyke/src/Peer/PeerTransportOptions.h"
+#include "turmericdyke/src/Peer/Sockets.h"
+
+namespace turmericdyke {
+
+namespace internal {
+class IncomingPeer;
+class OutgoingPeer;
+struct TransportContext;
+} // namespace internal
+
+/// Exchanges messages with other nodes over HTTP/2, on one I/O thread. Each
+/// node sends over connections that it opened itself.
+///
+/// A message is delivered at most once: what a connection has taken but not
+/// confirmed when it ends is lost and counted, and what still waits in the
+/// queue goes over the next connection. Messages of one peer may overtake each
+/// other when they are larger than a frame of 16 KiB.
+class PeerTransport {
+public:
+  static Result<std::unique_ptr<PeerTransport>, PeerError>
+  start(PeerTransportOptions Options, PeerHandler Handler);
+
+  /// Stops.
+  ~PeerTransport();
+  PeerTransport(const PeerTransport &) = delete;
+  PeerTransport &operator=(const PeerTransport &) = delete;
+
+  /// IP:port that other nodes use, with the actual port.
+  const std::string &address() const;
+
+  /// Sets where a node listens. Nodes that connect here are added by
+  /// themselves. A connection to the address is then accepted only from that
+  /// node.
+  void setPeer(const NodeId &Node, std::string_view Address);
+  /// Forgets a node, its queue and the connection to it.
+  void removePeer(const NodeId &Node);
+
+  /// Queues a message; never blocks on I/O. Errors: `UnknownPeer`,
+  /// `QueueFull`, `TooLarge`, `Stopped`.
+  Result<void, PeerError> send(const NodeId &To, PeerMessageKind Kind,
+                               std::string Bytes);
+  /// Queues a message to whichever node listens at `Address`.
+  Result<void, PeerError> sendTo(std::string_view Address, PeerMessageKind Kind,
+                                 std::string Bytes);
+
+  const PeerCounters &counters() const;
+
+  /// Refuses new messages, waits a bounded time for queued ones and joins the
+  /// thread. The handler is not called afterwards. Not to be called from the
+  /// handler.
+  void stop();
+
+private:
+  struct KnownPeer {
+    std::string m_address;
+    std::uint64_t m_incarnation = 0;
+  };
+  using OutgoingMap =
+      std::map<std::string, std::unique_ptr<internal::OutgoingPeer>>;
+
+  PeerTransport(PeerTransportOptions Options, PeerHandler Handler,
+                internal::Descriptor Listener, internal::Descriptor Wake);
+
+  Result<void, PeerError> enqueue(const std::string &Address,
+                                  PeerMessageKind Kind, std::string Bytes);
+  std::shared_ptr<SendQueue> queueFor(const std::string &Address)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
+  void dropAddress(const NodeId &Node, const std::string &Address)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
+  void learn(const PeerIdentity &Identity);
+  NodeId expectedNode(const std::string &Address) const;
+
+  void wake();
+  void drainWake();
+  void run();
+  void turn(Instant Now);
+  void syncOutgoing(Instant Now);
+  void dropIdle(Instant Now);
+  void accept(Instant Now);
+  void limitStrangers();
+  absl::Duration pollTimeout(Instant Now) const;
+  bool isDrained() const;
+
+  std::unique_ptr<internal::TransportContext> m_context;
+  internal::Descriptor m_listener;
+  internal::Descriptor m_wake;
+  std::atomic<bool> m_wakePending{false};
+  std::atomic<bool> m_stopping{false};
+
+  mutable absl::Mutex m_lock;
+  std::map<NodeId, KnownPeer> m_peers ABSL_GUARDED_BY(m_lock);
+  std::map<std::string, NodeId> m_nodeAt ABSL_GUARDED_BY(m_lock);
+  std::map<std::string, std::shared_ptr<SendQueue>>
+      m_queues ABSL_GUARDED_BY(m_lock);
+  bool m_queuesChanged ABSL_GUARDED_BY(m_lock) = false;
+
+  // Of the I/O thread only.
+  OutgoingMap m_outgoing;
+  std::list<std::unique_ptr<internal::IncomingPeer>> m_incoming;
+
+  std::thread m_thread;
+};
+
+} // namespace turmericdyke
