--- a/packages/base/turmericdyke/src/Base/StringId.h
+++ b/packages/base/turmericdyke/src/Base/StringId.h
@@ -20,7 +20,9 @@
   const std::string &str() const { return m_value; }
   bool empty() const { return m_value.empty(); }
 
-  friend auto operator<=>(const StringId &, const StringId &) = default;
+  friend auto operator<=>(const StringId &A, const StringId &B) {
+    return A.m_value <=> B.m_value;
+  }
   friend bool operator==(const StringId &, const StringId &) = default;
   template <class H> friend H AbslHashValue(H State, const StringId &Id) {
     return H::combine(std::move(State), Id.m_value);
