--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libabsl-dev libnghttp2-dev libboost-dev libcpp-httplib-dev libgflags-dev libfmt-dev doctest-dev \
   librapidcheck-dev nlohmann-json3-dev libyaml-cpp-dev libssl-dev
 
-.PHONY: deps build test format format-check lint check demo
+.PHONY: deps build test format format-check lint check demo bench
 
 deps:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -q && apt-get install -y -q --no-install-recommends $(PACKAGES))
@@ -26,3 +26,6 @@
 	git ls-files -co --exclude-standard '*.cpp' | xargs -P 8 -n 1 clang-tidy -p $(BUILD) --quiet
 
 check: format-check lint test
+
+bench: build
+	$(BUILD)/bench/turmericdyke_bench
