Let own work lead the choice of a replica

Two draws and a half-life of 1 s made the nodes follow reports that are 0.5 s to 1 s old, in which time they start more requests than a replica has slots free.

--- a/packages/routing/turmericdyke/src/Routing/WeightedStrategy.cpp
+++ b/packages/routing/turmericdyke/src/Routing/WeightedStrategy.cpp
@@ -68,7 +68,7 @@
   double Others = Trust * othersWork(C) + (1 - Trust) * MeanOthers;
   double Slots = static_cast<double>(std::max<std::int64_t>(1, C.m_slots));
   // The request itself counts, so that an idle straggler does not score 0.
-  double Filled = (Own + Others + 1) / Slots;
+  double Filled = (m_options.m_ownWeight * Own + Others + 1) / Slots;
   double Hit = std::clamp(C.m_prefixHit, 0.0, 1.0);
   return Filled / std::max(C.m_speedWeight, LeastSpeedWeight) -
          Hit * m_options.m_prefixBonus;
