--- a/packages/peer/turmericdyke/src/Peer/PeerMessages.cpp
+++ b/packages/peer/turmericdyke/src/Peer/PeerMessages.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 constexpr std::string_view KindNames[] = {
-    "hello",          "raft", "lease_request", "lease_grant",   "propose",
-    "propose_result", "swim", "target_digest", "quota_request", "quota_grant"};
+    "hello",         "raft",           "lease_request", "lease_grant",
+    "propose",       "propose_result", "swim",          "target_digest",
+    "quota_request", "quota_grant",    "bootstrap"};
 static_assert(std::size(KindNames) == PeerMessageKinds);
 
 constexpr std::string_view StatusNames[] = {"committed", "not_leader",
--- a/packages/peer/turmericdyke/src/Peer/PeerMessages.h
+++ b/packages/peer/turmericdyke/src/Peer/PeerMessages.h
@@ -25,9 +25,10 @@
   TargetDigest,
   QuotaRequest,
   QuotaGrant,
+  Bootstrap,
 };
 
-inline constexpr std::size_t PeerMessageKinds = 10;
+inline constexpr std::size_t PeerMessageKinds = 11;
 
 /// The name on the wire, the last part of the path `/peer/v1/KIND`.
 std::string_view nameOf(PeerMessageKind Kind);
