--- a/packages/ctl/test/CommandRunnerTest.cpp
+++ b/packages/ctl/test/CommandRunnerTest.cpp
@@ -235,7 +235,7 @@
   for (const std::deque<Reply> &Script : Scripts) {
     B.m_node.set("POST /v1/declaration", Script);
     CHECK(B.apply() == ExitCode::AnswerLost);
-    CHECK(B.says("--change_id=change-1"));
+    CHECK(B.says("--change_id=change-1 --base_revision=7"));
   }
   B.m_node.set("POST /v1/declaration", {loseAnswer()});
   B.m_options.m_nodes = {B.m_node.address(), B.m_closed.address()};
--- a/packages/ctl/turmericdyke/src/Ctl/CommandRunner.cpp
+++ b/packages/ctl/turmericdyke/src/Ctl/CommandRunner.cpp
@@ -191,7 +191,10 @@
                {"author", m_options.m_author},
                {"declaration", Json::parse(declarationJson(Declared.value()))}};
   OperatorAnswer Answer = m_client.change("/v1/declaration", Body);
-  ExitCode Code = reportChange(Answer, ChangeId);
+  // With the base given, sending again cannot undo a change that another
+  // operator made meanwhile.
+  ExitCode Code = reportChange(
+      Answer, fmt::format("--change_id={} --base_revision={}", ChangeId, Base));
   if (Code != ExitCode::Ok || !m_options.m_wait)
     return Code;
   return waitForRevision(numberField(Answer.m_body, "revision"));
@@ -388,7 +391,7 @@
 }
 
 ExitCode CommandRunner::reportChange(const OperatorAnswer &Answer,
-                                     const std::string &ChangeId) {
+                                     std::string_view ResendFlags) {
   if (Answer.m_outcome == SendOutcome::NotSent)
     return fail(ExitCode::Unreachable,
                 fmt::format("no node was reached; nothing was sent: {}",
@@ -399,8 +402,8 @@
       (Answer.m_status == 200 && !Accepted))
     return fail(ExitCode::AnswerLost,
                 fmt::format("no certain answer; the change may have been made. "
-                            "Send it again with --change_id={}: {}",
-                            ChangeId, Answer.m_detail));
+                            "Send it again with {}: {}",
+                            ResendFlags, Answer.m_detail));
   if (!Accepted)
     return reportRefusal(Answer);
   std::int64_t Revision = numberField(Answer.m_body, "revision");
@@ -448,7 +451,8 @@
   std::string ChangeId = changeId();
   m_streams.m_err << fmt::format("change_id: {}\n", ChangeId) << std::flush;
   Json Body = {{Kind, Name}, {"drained", Drained}, {"change_id", ChangeId}};
-  return reportChange(m_client.change("/v1/drain", Body), ChangeId);
+  return reportChange(m_client.change("/v1/drain", Body),
+                      fmt::format("--change_id={}", ChangeId));
 }
 
 std::string CommandRunner::findKind(const std::string &Name, ExitCode &Failed) {
--- a/packages/ctl/turmericdyke/src/Ctl/CommandRunner.h
+++ b/packages/ctl/turmericdyke/src/Ctl/CommandRunner.h
@@ -45,8 +45,9 @@
   /// Reads `Path`; the error is the exit code, after the reason was written.
   Result<nlohmann::json, ExitCode> fetch(const std::string &Path);
   Result<nlohmann::json, ExitCode> fetchDeclaration(std::int64_t Revision);
+  /// `ResendFlags` are the flags with which the change can be sent again.
   ExitCode reportChange(const OperatorAnswer &Answer,
-                        const std::string &ChangeId);
+                        std::string_view ResendFlags);
   ExitCode reportRefusal(const OperatorAnswer &Answer);
   ExitCode setDrained(const std::string &Name, bool Drained);
   /// `target` or `host`; empty after the reason was written.
