--- a/packages/consensus/test/RaftTest.cpp
+++ b/packages/consensus/test/RaftTest.cpp
@@ -343,6 +343,21 @@
   CHECK(Node.m_raft->commitIndex() == Node.m_raft->lastIndex());
 }
 
+TEST_CASE("a leader that lost its majority while it removed itself stands for "
+          "election again, as it may be the only one with the newest entries") {
+  Single Node;
+  VoterSet Without{{voter("b"), voter("c")}};
+  Node.m_disk.m_entries.push_back({2, 1, EntryKind::Voters, "", Without});
+  Node.restart();
+  Node.pass(absl::Seconds(2));
+  std::vector<RaftMessage> Asked = Node.take().m_messages;
+  REQUIRE(Asked.size() == 2);
+  Node.step(Node.answer(Asked[0], true, 0));
+  CHECK(Node.m_raft->role() == RaftRole::PreCandidate);
+  Node.step(Node.answer(Asked[1], true, 0));
+  CHECK(Node.m_raft->role() == RaftRole::Candidate);
+}
+
 TEST_CASE("messages to another node, of unknown kind or with gaps change "
           "nothing") {
   Single Node;
--- a/packages/storage/turmericdyke/src/Storage/DataDirectory.cpp
+++ b/packages/storage/turmericdyke/src/Storage/DataDirectory.cpp
@@ -136,6 +136,7 @@
                            m_identity));
 }
 
+/// The one of the format file is skipped: `create` may just have renamed it.
 Result<void, StorageError>
 DataDirectory::removeTemporaries(const std::vector<std::string> &Names) {
   for (const std::string &Name : Names)
@@ -149,7 +150,6 @@
 Result<void, StorageError> DataDirectory::readHardState() {
   BOOST_OUTCOME_TRY(Read, internal::readSingle(m_files, internal::HardStateFile,
                                                internal::decodeHardState));
-  m_hasHardState = Read.has_value();
   m_state.m_hardState = Read.value_or(HardState());
   return success();
 }
--- a/packages/storage/turmericdyke/src/Storage/DataDirectory.h
+++ b/packages/storage/turmericdyke/src/Storage/DataDirectory.h
@@ -75,7 +75,6 @@
   std::string m_identity;
   PersistentState m_state;
   LogIndex m_snapshotIndex = 0;
-  bool m_hasHardState = false;
   bool m_failed = false;
   std::vector<std::string> m_notices;
 };
