formation: replace members that ignore orders or show a rare build; fewer look-ups per plan

A broken replica above the capacity held now waits for its host instead of ending, since its survivors hold their weights and others may take its hosts.

--- a/packages/formation/bench/FormationBench.cpp
+++ b/packages/formation/bench/FormationBench.cpp
@@ -12,6 +12,8 @@
 
 DEFINE_string(output, "text", "text or json");
 DEFINE_int32(trials, 20, "trials of each loss, with seeds 1 to this number");
+DEFINE_int64(held, 9, "replicas that the capacity held needs");
+DEFINE_int64(wanted, 15, "replicas that the capacity limit could use");
 DEFINE_bool(faults, true, "whether to measure losses");
 DEFINE_bool(time, true, "whether to measure the planner's time");
 
@@ -23,8 +25,7 @@
 // 2 hosts beside whole replicas of 4, so that the spares setting matters.
 const std::vector<int> DomainSizes = {12, 9, 10, 8, 13, 8};
 constexpr std::int64_t HostsPerReplica = 4;
-constexpr std::int64_t ReplicasHeld = 9;
-constexpr std::int64_t ReplicasWanted = 15;
+
 constexpr absl::Duration Window = absl::Minutes(10);
 constexpr absl::Duration ReturnAfter = absl::Minutes(5);
 
@@ -43,6 +44,9 @@
   /// Time with fewer replicas than the capacity held needs.
   double m_belowHeldSeconds = 0;
   double m_strandedAcceleratorSeconds = 0;
+  /// Sum over time of the replicas that serve.
+  double m_served = 0;
+  double m_seconds = 0;
 };
 
 struct Summary {
@@ -57,8 +61,7 @@
   PlannerOptions Settings;
   Settings.m_sparesPerDomain = Chosen.m_spares;
   VirtualFleet Fleet(Options, Settings, Chosen.m_strategy, Seed);
-  Fleet.setPools(
-      {virtualPool("m", HostsPerReplica, ReplicasHeld, ReplicasWanted)});
+  Fleet.setPools({virtualPool("m", HostsPerReplica, FLAGS_held, FLAGS_wanted)});
   Fleet.run(absl::Minutes(15));
   return Fleet;
 }
@@ -108,8 +111,10 @@
       Recovered = true;
       Measured.m_recoverySeconds = absl::ToDoubleSeconds(Fleet.now() - Start);
     }
+    Measured.m_served += static_cast<double>(serving(Fleet)) * Step;
+    Measured.m_seconds += Step;
     Measured.m_downtime += static_cast<double>(Missing) * Step;
-    Measured.m_belowHeldSeconds += serving(Fleet) < ReplicasHeld ? Step : 0;
+    Measured.m_belowHeldSeconds += serving(Fleet) < FLAGS_held ? Step : 0;
     Measured.m_strandedAcceleratorSeconds +=
         static_cast<double>(Fleet.strandedAccelerators()) * Step;
   }
@@ -173,9 +178,11 @@
       Returns.erase(Returns.begin());
     }
     std::int64_t Now = serving(Fleet);
+    Measured.m_served += static_cast<double>(Now) * Step;
+    Measured.m_seconds += Step;
     Measured.m_downtime +=
         static_cast<double>(std::max<std::int64_t>(0, Before - Now)) * Step;
-    Measured.m_belowHeldSeconds += Now < ReplicasHeld ? Step : 0;
+    Measured.m_belowHeldSeconds += Now < FLAGS_held ? Step : 0;
     Measured.m_strandedAcceleratorSeconds +=
         static_cast<double>(Fleet.strandedAccelerators()) * Step;
   }
@@ -192,6 +199,7 @@
   const double Share = 1.0 / static_cast<double>(Losses.size());
   for (const Loss &Each : Losses) {
     Result.m_mean.m_recoverySeconds += Each.m_recoverySeconds * Share;
+    Result.m_mean.m_served += Each.m_served / Each.m_seconds * Share;
     Result.m_mean.m_downtime += Each.m_downtime * Share;
     Result.m_mean.m_belowHeldSeconds += Each.m_belowHeldSeconds * Share;
     Result.m_mean.m_strandedAcceleratorSeconds +=
@@ -217,11 +225,14 @@
       {"loss", Kind.m_name},
       {"policy", Chosen.m_name},
       {"spares", Chosen.m_spares},
+      {"held", FLAGS_held},
+      {"wanted", FLAGS_wanted},
       {"replicas_before", Before},
       {"recovery_s", Result.m_mean.m_recoverySeconds},
       {"max_recovery_s", Result.m_maxRecovery},
       {"unrecovered", Result.m_unrecovered},
       {"downtime_replica_s", Result.m_mean.m_downtime},
+      {"serving_mean", Result.m_mean.m_served},
       {"below_held_s", Result.m_mean.m_belowHeldSeconds},
       {"stranded_accelerator_s", Result.m_mean.m_strandedAcceleratorSeconds}};
 }
@@ -237,7 +248,7 @@
   Settings.m_maxLoads = 1'000'000;
   VirtualFleet Fleet(Options, Settings, defaultStrategy(), 1);
   // One pool for every 20 replicas, 8 hosts each, 80 % of the replicas held.
-  std::int64_t Replicas = Targets / 20 * 2;
+  std::int64_t Replicas = Targets / 20 * std::int64_t{2};
   std::vector<PoolView> Pools;
   for (std::int64_t First = 0; First < Replicas; First += 20) {
     std::int64_t Count = std::min<std::int64_t>(20, Replicas - First);
--- a/packages/formation/bench/VirtualFleet.cpp
+++ b/packages/formation/bench/VirtualFleet.cpp
@@ -36,16 +36,17 @@
 
 } // namespace
 
-VirtualFleet::VirtualFleet(VirtualFleetOptions Options, PlannerOptions Settings,
-                           FormationStrategy Strategy, std::uint64_t Seed)
+VirtualFleet::VirtualFleet(const VirtualFleetOptions &Options,
+                           PlannerOptions Settings, FormationStrategy Strategy,
+                           std::uint64_t Seed)
     : m_options(Options), m_settings(Settings), m_strategy(Strategy),
       m_random(Seed), m_observingSince(m_now),
       m_planner(std::make_unique<Planner>(Settings, Strategy)),
       m_state(parseNothing) {
   std::vector<int> Sizes = Options.m_domainSizes;
   if (Sizes.empty())
-    Sizes.assign(static_cast<std::size_t>(Options.m_failureDomains *
-                                          Options.m_fabricDomainsEach),
+    Sizes.assign(static_cast<std::size_t>(Options.m_failureDomains) *
+                     static_cast<std::size_t>(Options.m_fabricDomainsEach),
                  Options.m_hostsPerFabricDomain);
   for (int Domain = 0; Domain < static_cast<int>(Sizes.size()); ++Domain)
     for (int Host = 0; Host < Sizes[static_cast<std::size_t>(Domain)]; ++Host) {
@@ -127,7 +128,7 @@
 
 void VirtualFleet::follow(VirtualTarget &Target, const Order &Received) {
   TargetAnnouncement &Truth = Target.m_truth;
-  if (Received.m_incarnation != Truth.m_incarnation ||
+  if (Target.m_ignoresOrders || Received.m_incarnation != Truth.m_incarnation ||
       (Truth.m_checksFencing && Received.m_fence < Truth.m_highestFence))
     return;
   Truth.m_highestFence = std::max(Truth.m_highestFence, Received.m_fence);
--- a/packages/formation/bench/VirtualFleet.h
+++ b/packages/formation/bench/VirtualFleet.h
@@ -39,6 +39,7 @@
   bool m_up = true;
   Instant m_pausedUntil = absl::InfinitePast();
   double m_loaded = 0;
+  bool m_ignoresOrders = false;
   /// What the nodes know.
   TargetAnnouncement m_announced;
   Instant m_lastHeard = absl::InfinitePast();
@@ -50,7 +51,7 @@
 /// rate-limited weight store and delayed orders, in virtual time.
 class VirtualFleet {
 public:
-  VirtualFleet(VirtualFleetOptions Options, PlannerOptions Settings,
+  VirtualFleet(const VirtualFleetOptions &Options, PlannerOptions Settings,
                FormationStrategy Strategy, std::uint64_t Seed);
 
   static constexpr absl::Duration StepLength = absl::Milliseconds(250);
@@ -75,6 +76,10 @@
   void restart(std::size_t Target);
   void pause(std::size_t Target, absl::Duration Length);
   void setDrained(std::size_t Target, bool Drained);
+  /// Makes a target announce itself but follow no orders.
+  void ignoreOrders(std::size_t Target) {
+    m_targets[Target].m_ignoresOrders = true;
+  }
   void setBuild(std::size_t Target, std::string Build);
   /// A new leader takes over with an empty directory of targets.
   void changeLeader();
--- a/packages/formation/test/PlannerTest.cpp
+++ b/packages/formation/test/PlannerTest.cpp
@@ -358,3 +358,29 @@
   CHECK(untilServing(Fleet) < absl::Minutes(2));
   CHECK(first(Fleet).m_replica != Before);
 }
+
+TEST_CASE("a target that announces itself but follows no order does not hold "
+          "up its replica") {
+  VirtualFleet Fleet = fleet(1, 1, 5);
+  Fleet.ignoreOrders(0);
+  Fleet.setPools({virtualPool("m", 4, 1, 1)});
+  CHECK(untilServing(Fleet) < absl::Minutes(2));
+  CHECK(Fleet.state().assignmentOf(Fleet.targets()[0].m_truth.m_host) ==
+        nullptr);
+}
+
+TEST_CASE("a patch that reaches only some members is resolved by spares of the "
+          "common build, or by another replica elsewhere") {
+  for (int Hosts : {4, 5}) {
+    VirtualFleet Fleet = fleet(1, 2, Hosts);
+    Fleet.setPools({virtualPool("m", 4, 1, 1)});
+    settle(Fleet);
+    ReplicaId Before = first(Fleet).m_replica;
+    Fleet.setBuild(member(Fleet, 1), "build-2");
+    Fleet.run(absl::Seconds(50));
+    CHECK(first(Fleet).m_generation == 1);
+    CHECK(untilServing(Fleet) < absl::Minutes(2));
+    CHECK((Fleet.state().assignment(Before)->m_generation == 2) ==
+          (Hosts == 5));
+  }
+}
--- a/packages/formation/turmericdyke/src/Formation/HostHistory.cpp
+++ b/packages/formation/turmericdyke/src/Formation/HostHistory.cpp
@@ -30,6 +30,9 @@
       Found->second.m_incarnation = View.m_announcement->m_incarnation;
     observe(Now, View, Found->second);
   }
+  if (Now - m_cleaned < m_options.m_flapMemory)
+    return;
+  m_cleaned = Now;
   absl::erase_if(m_records, [&](const auto &Entry) {
     return Now - Entry.second.m_seen > m_options.m_flapMemory;
   });
--- a/packages/formation/turmericdyke/src/Formation/HostHistory.h
+++ b/packages/formation/turmericdyke/src/Formation/HostHistory.h
@@ -32,6 +32,7 @@
 
   PlannerOptions m_options;
   absl::flat_hash_map<TargetId, Record> m_records;
+  Instant m_cleaned = absl::InfinitePast();
 };
 
 } // namespace turmericdyke::internal
--- a/packages/formation/turmericdyke/src/Formation/OrderBook.h
+++ b/packages/formation/turmericdyke/src/Formation/OrderBook.h
@@ -33,6 +33,10 @@
   /// Whether a join that needs a weight load is on its way to the target.
   bool isLoadOrdered(const TargetId &Target) const;
 
+  /// Whether the target announces itself but did not follow several joins in a
+  /// row. It gets another chance after five minutes.
+  bool isUnresponsive(const TargetId &Target, Instant Now) const;
+
   /// For tests: stops the fencing numbers from growing.
   void repeatFences() { m_repeatFences = true; }
 
@@ -43,9 +47,18 @@
     bool m_needsLoad = false;
   };
 
+  /// Equal joins in a row.
+  struct Joins {
+    Order m_order;
+    Instant m_lastSent;
+    int m_count = 0;
+  };
+  void countJoin(const Order &Sent, Instant Now);
+
   std::uint64_t m_nextFence = 1;
   std::uint64_t m_fenceEnd = 1;
   absl::flat_hash_map<TargetId, Sent> m_sent;
+  absl::flat_hash_map<TargetId, Joins> m_joins;
   bool m_repeatFences = false;
 };
 
--- a/packages/formation/turmericdyke/src/Formation/PlanBuilder.cpp
+++ b/packages/formation/turmericdyke/src/Formation/PlanBuilder.cpp
@@ -54,7 +54,7 @@
 
 const TargetView *PlanBuilder::view(const TargetId &Target) const {
   static const TargetView Unknown;
-  auto Found = m_views.find(Target);
+  auto Found = m_views.find(Target.str());
   return Found == m_views.end() ? &Unknown : Found->second;
 }
 
@@ -79,15 +79,22 @@
 
   return Said.m_kind == TargetKind::Model && isFresh(View) &&
          (holdsNoReplica(Said) || m_context.m_hooks.m_skipReleaseRule) &&
-         !m_occupied.contains(Said.m_host) &&
-         !m_occupiedTargets.contains(Said.m_target) && !isDrained(Said) &&
+         !m_occupied.contains(Said.m_host.str()) &&
+         !m_occupiedViews.contains(&View) && !isDrained(Said) &&
+         !m_context.m_orders.isUnresponsive(Said.m_target, m_now) &&
          !m_context.m_history.isHeldDown(Said.m_target, m_now);
 }
 
 void PlanBuilder::indexOccupied() {
+  m_views.reserve(m_input.m_targets.size());
+  for (const TargetView &View : m_input.m_targets)
+    if (View.m_announcement != nullptr)
+      m_views[View.m_announcement->m_target.str()] = &View;
+  m_occupied.reserve(m_views.size());
+  m_occupiedViews.reserve(m_views.size());
   auto Occupy = [this](const AssignedMember &Member) {
-    m_occupied.insert(Member.m_host);
-    m_occupiedTargets.insert(Member.m_target);
+    m_occupied.insert(Member.m_host.str());
+    m_occupiedViews.insert(view(Member.m_target));
   };
   for (const auto &Value : m_input.m_assignments)
     for (const AssignedMember &Member : Value->m_members)
@@ -98,12 +105,10 @@
 }
 
 void PlanBuilder::indexTargets() {
-  m_views.reserve(m_input.m_targets.size());
   for (const TargetView &View : m_input.m_targets) {
     if (View.m_announcement == nullptr)
       continue;
     const TargetAnnouncement &Said = *View.m_announcement;
-    m_views[Said.m_target] = &View;
     FabricDomainId Fabric = m_context.m_hooks.m_mixFabricDomains
                                 ? FabricDomainId("all")
                                 : Said.m_fabricDomain;
@@ -134,10 +139,10 @@
     m_pools[View.m_name].m_view = &View;
 }
 
-PlanBuilder::MemberCondition PlanBuilder::conditionOf(const Assignment &Value,
-                                                      std::size_t Rank) const {
+PlanBuilder::MemberCondition
+PlanBuilder::conditionOf(const Assignment &Value, std::size_t Rank,
+                         const TargetView &View) const {
   const AssignedMember &Member = Value.m_members[Rank];
-  const TargetView &View = *view(Member.m_target);
   Instant Heard = std::max(View.m_lastHeard, m_input.m_observingSince);
   if (m_now - Heard > m_context.m_options.m_repairAfter)
     return MemberCondition::Lost;
@@ -153,10 +158,13 @@
     return MemberCondition::Restarted;
   if (Said.m_incarnation < Member.m_incarnation)
     return MemberCondition::Absent;
+
   bool Runs = Said.m_state == TargetState::Loading ||
               Said.m_state == TargetState::Ready;
-  return Runs && memberEchoes(Value, Rank, View, m_now)
-             ? MemberCondition::Echoing
+  if (Runs && memberEchoes(Value, Rank, View, m_now))
+    return MemberCondition::Echoing;
+  return m_context.m_orders.isUnresponsive(Member.m_target, m_now)
+             ? MemberCondition::Lost
              : MemberCondition::Joining;
 }
 
@@ -166,26 +174,26 @@
   Assessed.m_ending = Value.m_phase == AssignmentPhase::Ending;
   auto Found = m_pools.find(Value.m_pool);
   Assessed.m_pool = Found == m_pools.end() ? nullptr : &Found->second;
+  std::vector<TargetView> Views;
+  Views.reserve(Value.m_members.size());
+  Assessed.m_members.reserve(Value.m_members.size());
   for (std::size_t Rank = 0; Rank < Value.m_members.size(); ++Rank) {
-    MemberCondition Condition = conditionOf(Value, Rank);
+    const TargetView &View = *view(Value.m_members[Rank].m_target);
+    Views.push_back(View);
+    if (m_context.m_hooks.m_skipFreshness)
+      Views.back().m_lastHeard = m_now;
+    MemberCondition Condition = conditionOf(Value, Rank, View);
     Assessed.m_members.push_back(Condition);
     Assessed.m_absent |= Condition == MemberCondition::Absent;
     Assessed.m_toReplace += Condition == MemberCondition::Lost ||
                             Condition == MemberCondition::Restarted;
-    const TargetView &View = *view(Value.m_members[Rank].m_target);
     if (View.m_announcement == nullptr)
       continue;
     Assessed.m_drained += isDrained(*View.m_announcement);
     Assessed.m_work += View.m_announcement->m_load.m_running +
                        View.m_announcement->m_load.m_waiting;
   }
-  auto Lookup = [this](const TargetId &Target) {
-    const TargetView &View = *view(Target);
-    if (m_context.m_hooks.m_skipFreshness)
-      return TargetView{View.m_announcement, m_now};
-    return View;
-  };
-  Assessed.m_serves = replicaServes(Value, Lookup, m_now);
+  Assessed.m_serves = replicaServes(Value, Views, m_now);
   return Assessed;
 }
 
@@ -204,12 +212,7 @@
     if (Assessed.m_pool == nullptr)
       continue;
     Assessed.m_pool->m_serving += Assessed.m_serves;
-    if (!Assessed.isSound())
-      continue;
-    ++Assessed.m_pool->m_sound;
-    Assessed.m_pool->m_soundServing += Assessed.m_serves;
-    ++Assessed.m_pool->m_byFailureDomain[Value->m_failureDomain];
-    ++Assessed.m_pool->m_byFabricDomain[Value->m_fabricDomain];
+    countSound(Assessed, 1);
   }
 }
 
@@ -223,12 +226,7 @@
 void PlanBuilder::end(Replica &Value, std::string_view Reason) {
   if (Value.m_ending || Value.m_repaired || !mayMove())
     return;
-  if (Value.m_pool != nullptr && Value.isSound()) {
-    --Value.m_pool->m_sound;
-    Value.m_pool->m_soundServing -= Value.m_serves;
-    --Value.m_pool->m_byFailureDomain[Value.m_assignment->m_failureDomain];
-    --Value.m_pool->m_byFabricDomain[Value.m_assignment->m_fabricDomain];
-  }
+  countSound(Value, -1);
   Value.m_ending = true;
   Value.m_reason = Reason;
   m_domains[Value.m_assignment->m_fabricDomain].m_incoming +=
@@ -257,11 +255,12 @@
 }
 
 void PlanBuilder::acceptBuilds() {
+  absl::flat_hash_map<ReplicaId, Instant> MixedSince;
   for (Replica &Value : m_replicas) {
     if (Value.m_ending || Value.m_pool == nullptr || Value.m_serves)
       continue;
     const Assignment &Assigned = *Value.m_assignment;
-    std::set<std::string_view> Builds;
+    std::map<std::string_view, std::int64_t> Builds;
     bool Complete = true;
     bool Changed = false;
     for (std::size_t Rank = 0; Rank < Assigned.m_members.size(); ++Rank) {
@@ -271,7 +270,7 @@
       Complete &= Ready;
       if (!Ready)
         continue;
-      Builds.insert(View.m_announcement->m_engineBuild);
+      ++Builds[View.m_announcement->m_engineBuild];
       Changed |= !Assigned.m_acceptedBuild.empty() &&
                  View.m_announcement->m_engineBuild != Assigned.m_acceptedBuild;
     }
@@ -279,14 +278,66 @@
     if (Changed && Model.m_patchPolicy == EnginePatchPolicy::Reload)
       end(Value, "the engine build changed and the policy is to reload");
     else if (Complete && Builds.size() > 1)
-      Value.m_reason = "the members show different engine builds";
-    else if (Complete && *Builds.begin() != Assigned.m_acceptedBuild)
-      m_plan.m_changes.push_back(AcceptBuild{Assigned.m_replica,
-                                             Assigned.m_generation,
-                                             std::string(*Builds.begin())});
+      resolveMixedBuilds(Value, MixedSince);
+    else if (Complete && Builds.begin()->first != Assigned.m_acceptedBuild)
+      m_plan.m_changes.push_back(
+          AcceptBuild{Assigned.m_replica, Assigned.m_generation,
+                      std::string(Builds.begin()->first)});
     else if (Changed)
       Value.m_reason = "waits for all members to show one engine build";
   }
+  m_context.m_mixedSince = std::move(MixedSince);
+}
+
+/// A patch reaches the members one after another, so the planner first waits.
+/// Then the members that show a rarer build are replaced by spares that show
+/// the most common one; without such spares the replica no longer counts as
+/// sound, so that another can be formed.
+void PlanBuilder::resolveMixedBuilds(
+    Replica &Value, absl::flat_hash_map<ReplicaId, Instant> &MixedSince) {
+  const Assignment &Assigned = *Value.m_assignment;
+  Value.m_reason = "the members show different engine builds";
+  auto Known = m_context.m_mixedSince.find(Assigned.m_replica);
+  Instant Since = Known == m_context.m_mixedSince.end() ? m_now : Known->second;
+  MixedSince[Assigned.m_replica] = Since;
+  if (m_now - Since < m_context.m_options.m_mixedBuildWait)
+    return;
+  std::map<std::string_view, std::int64_t> Builds;
+  std::vector<std::string_view> Shown;
+  for (const AssignedMember &Member : Assigned.m_members) {
+    Shown.push_back(view(Member.m_target)->m_announcement->m_engineBuild);
+    ++Builds[Shown.back()];
+  }
+  auto Common = std::max_element(
+      Builds.begin(), Builds.end(),
+      [](const auto &A, const auto &B) { return A.second < B.second; });
+  const std::vector<const TargetView *> &Free =
+      m_domains[Assigned.m_fabricDomain].m_free;
+  std::int64_t Spares =
+      std::count_if(Free.begin(), Free.end(), [&](const TargetView *View) {
+        return View->m_announcement->m_engineBuild == Common->first;
+      });
+  std::int64_t Rarer = static_cast<std::int64_t>(Shown.size()) - Common->second;
+  countSound(Value, -1);
+  Value.m_mixed = true;
+  if (Spares < Rarer)
+    return;
+  for (std::size_t Rank = 0; Rank < Shown.size(); ++Rank)
+    if (Shown[Rank] != Common->first)
+      Value.m_members[Rank] = MemberCondition::Lost;
+  Value.m_toReplace = Rarer;
+  Value.m_wantedBuild = Common->first;
+}
+
+/// Counts a replica in or out of the sound ones of its pool, if it is one.
+void PlanBuilder::countSound(const Replica &Value, std::int64_t By) {
+  if (Value.m_pool == nullptr || !Value.isSound())
+    return;
+  Pool &Of = *Value.m_pool;
+  Of.m_sound += By;
+  Of.m_soundServing += Value.m_serves ? By : 0;
+  Of.m_byFailureDomain[Value.m_assignment->m_failureDomain] += By;
+  Of.m_byFabricDomain[Value.m_assignment->m_fabricDomain] += By;
 }
 
 std::int64_t PlanBuilder::soundOthers(const Replica &Value) const {
@@ -424,7 +475,7 @@
     return;
   std::vector<const TargetView *> Spares = takeSameBuild(
       Home, Count, Value.m_pool->m_view->m_model.m_acceleratorsPerHost,
-      New.m_acceptedBuild);
+      Value.m_wantedBuild.empty() ? New.m_acceptedBuild : Value.m_wantedBuild);
   if (Spares.size() != Places.size())
     return;
   for (std::size_t Index = 0; Index < Places.size(); ++Index) {
@@ -442,20 +493,20 @@
       SetAssignment{std::move(New), Value.m_assignment->m_generation});
 }
 
-/// No spare is free in the fabric domain. A new replica elsewhere is formed by
-/// `formHeld`, which does not count this one; meanwhile this one keeps its
-/// survivors, since the return of the lost host would make it serve at once.
-/// Hosts that another replica can give up in this domain are better, as the
-/// survivors hold their weights already.
+/// No spare is free in the fabric domain. A replica above the capacity held
+/// only waits, and gives its hosts to another replica that needs them. For one
+/// below it, a new replica elsewhere is formed by `formHeld`, which does not
+/// count this one; meanwhile this one keeps its survivors, since the return of
+/// the lost host would make it serve at once. Hosts that another replica can
+/// give up in this domain are better, as the survivors hold their weights
+/// already.
 void PlanBuilder::findHostsFor(Replica &Value) {
   Domain &Home = m_domains[Value.m_assignment->m_fabricDomain];
   std::int64_t Coming =
       static_cast<std::int64_t>(Home.m_free.size()) + Home.m_incoming;
-  if (isSurplus(Value))
-    end(Value, "the pool holds its capacity without it");
-  else if (Coming >= Value.m_toReplace)
+  if (Coming >= Value.m_toReplace)
     Value.m_reason = "waits for hosts of its fabric domain to be released";
-  else if (endVictim(Value))
+  else if (!isSurplus(Value) && endVictim(Value))
     Value.m_reason = "takes hosts of another replica in its fabric domain";
   else
     Value.m_reason = "no host of its fabric domain is free";
@@ -753,7 +804,7 @@
   // is no longer true, or missed the repair that replaced them.
   for (const TargetView &View : m_input.m_targets)
     if (View.m_announcement != nullptr && isFresh(View) &&
-        !m_occupiedTargets.contains(View.m_announcement->m_target) &&
+        !m_occupiedViews.contains(&View) &&
         !View.m_announcement->m_membership.m_replica.empty())
       orderRelease({View.m_announcement->m_target, View.m_announcement->m_host,
                     View.m_announcement->m_incarnation},
--- a/packages/formation/turmericdyke/src/Formation/PlanBuilder.h
+++ b/packages/formation/turmericdyke/src/Formation/PlanBuilder.h
@@ -25,6 +25,7 @@
   const HostHistory &m_history;
   OrderBook &m_orders;
   absl::flat_hash_map<ReplicaId, Instant> &m_endingSince;
+  absl::flat_hash_map<ReplicaId, Instant> &m_mixedSince;
 };
 
 /// Builds one plan, step by step.
@@ -41,7 +42,8 @@
     Joining,
     /// Silent for a short time.
     Absent,
-    /// Silent for long, leaving, or in another fabric domain.
+    /// Silent for long, leaving, in another fabric domain, or it does not
+    /// follow orders.
     Lost,
     /// Present under a newer incarnation, without its weights.
     Restarted,
@@ -71,14 +73,18 @@
     std::int64_t m_work = 0;
     bool m_serves = false;
     bool m_absent = false;
+    /// The members show different engine builds for long.
+    bool m_mixed = false;
     /// Being ended, by the log or by this plan.
     bool m_ending = false;
     /// Replaced by a new generation in this plan.
     bool m_repaired = false;
     std::string m_reason;
+    /// Build that replacements should show, if not the accepted one.
+    std::string m_wantedBuild;
 
     bool isSound() const {
-      return !m_ending && m_toReplace == 0 && m_drained == 0;
+      return !m_ending && !m_mixed && m_toReplace == 0 && m_drained == 0;
     }
   };
 
@@ -94,9 +100,13 @@
   void indexPools();
   void assessReplicas();
   Replica assess(const Assignment &Value);
-  MemberCondition conditionOf(const Assignment &Value, std::size_t Rank) const;
+  MemberCondition conditionOf(const Assignment &Value, std::size_t Rank,
+                              const TargetView &View) const;
   void finishEndings();
   void acceptBuilds();
+  void resolveMixedBuilds(Replica &Value,
+                          absl::flat_hash_map<ReplicaId, Instant> &MixedSince);
+  static void countSound(const Replica &Value, std::int64_t By);
   void endUnneeded();
   void endExcess(Pool &Value);
   void repairReplicas();
@@ -140,9 +150,11 @@
   Plan m_plan;
   std::int64_t m_moves = 0;
   bool m_settled = false;
-  absl::flat_hash_map<TargetId, const TargetView *> m_views;
-  absl::flat_hash_set<HostId> m_occupied;
-  absl::flat_hash_set<TargetId> m_occupiedTargets;
+  /// By target.
+  absl::flat_hash_map<std::string_view, const TargetView *> m_views;
+  /// Hosts and targets in an assignment or departing.
+  absl::flat_hash_set<std::string_view> m_occupied;
+  absl::flat_hash_set<const TargetView *> m_occupiedViews;
   std::map<FabricDomainId, Domain> m_domains;
   std::map<std::string, Pool> m_pools;
   std::vector<Replica> m_replicas;
--- a/packages/formation/turmericdyke/src/Formation/Planner.cpp
+++ b/packages/formation/turmericdyke/src/Formation/Planner.cpp
@@ -10,9 +10,9 @@
 Plan Planner::plan(Instant Now, const PlannerInput &Input) {
   m_history.observe(Now, Input.m_targets);
   m_orders.start(Now, Input.m_fences);
-  internal::PlanBuilder Builder(
-      Now, Input,
-      {m_options, m_strategy, m_hooks, m_history, m_orders, m_endingSince});
+  internal::PlanBuilder Builder(Now, Input,
+                                {m_options, m_strategy, m_hooks, m_history,
+                                 m_orders, m_endingSince, m_mixedSince});
   return Builder.build();
 }
 
--- a/packages/formation/turmericdyke/src/Formation/Planner.h
+++ b/packages/formation/turmericdyke/src/Formation/Planner.h
@@ -31,6 +31,8 @@
   internal::OrderBook m_orders;
   /// When each ending assignment was first seen as ending.
   absl::flat_hash_map<ReplicaId, Instant> m_endingSince;
+  /// Since when the members of a replica show different engine builds.
+  absl::flat_hash_map<ReplicaId, Instant> m_mixedSince;
 };
 
 } // namespace turmericdyke
--- a/packages/formation/turmericdyke/src/Formation/PlannerInput.cpp
+++ b/packages/formation/turmericdyke/src/Formation/PlannerInput.cpp
@@ -38,6 +38,7 @@
     Pool.m_capacityLimit += Customer.m_capacityLimit;
   }
   std::vector<PoolView> Sorted;
+  Sorted.reserve(Pools.size());
   for (auto &[Name, Pool] : Pools)
     Sorted.push_back(std::move(Pool));
   return Sorted;
--- a/packages/formation/turmericdyke/src/Formation/PlannerOptions.h
+++ b/packages/formation/turmericdyke/src/Formation/PlannerOptions.h
@@ -28,6 +28,8 @@
   std::int64_t m_sparesPerDomain = 1;
   /// Weight loads at a time.
   std::int64_t m_maxLoads = 16;
+  /// How long a patch may take to reach all members of a replica.
+  absl::Duration m_mixedBuildWait = absl::Minutes(1);
   /// Replicas formed, repaired or ended in one plan.
   std::int64_t m_maxMoves = 32;
   /// A target that was lost twice within this time is held down.
--- a/packages/formation/turmericdyke/src/Formation/ReplicaPredicate.cpp
+++ b/packages/formation/turmericdyke/src/Formation/ReplicaPredicate.cpp
@@ -31,16 +31,25 @@
          View.m_announcement->m_engineBuild == Value.m_acceptedBuild;
 }
 
-bool replicaServes(const Assignment &Value, TargetLookup Lookup, Instant Now) {
-  if (Value.m_phase != AssignmentPhase::Active || Value.m_members.empty())
+bool replicaServes(const Assignment &Value, absl::Span<const TargetView> Views,
+                   Instant Now) {
+  assert(Views.size() == Value.m_members.size() && "one view for each member");
+  if (Value.m_phase != AssignmentPhase::Active || Views.empty())
     return false;
-  for (std::size_t Rank = 0; Rank < Value.m_members.size(); ++Rank)
-    if (!memberConfirms(Value, Rank, Lookup(Value.m_members[Rank].m_target),
-                        Now))
+  for (std::size_t Rank = 0; Rank < Views.size(); ++Rank)
+    if (!memberConfirms(Value, Rank, Views[Rank], Now))
       return false;
   return true;
 }
 
+bool replicaServes(const Assignment &Value, TargetLookup Lookup, Instant Now) {
+  std::vector<TargetView> Views;
+  Views.reserve(Value.m_members.size());
+  for (const AssignedMember &Member : Value.m_members)
+    Views.push_back(Lookup(Member.m_target));
+  return replicaServes(Value, Views, Now);
+}
+
 bool isReleased(const AssignedMember &Member, const TargetView &View,
                 Instant ObservingSince, Instant Now) {
   Instant Heard = std::max(View.m_lastHeard, ObservingSince);
--- a/packages/formation/turmericdyke/src/Formation/ReplicaPredicate.h
+++ b/packages/formation/turmericdyke/src/Formation/ReplicaPredicate.h
@@ -19,7 +19,11 @@
                     const TargetView &View, Instant Now);
 
 /// Whether a node may send new work to a replica (I1): the assignment is active
-/// and has an accepted build, and every member confirms.
+/// and has an accepted build, and every member confirms. The views are those of
+/// the members in rank order.
+bool replicaServes(const Assignment &Value, absl::Span<const TargetView> Views,
+                   Instant Now);
+/// The same, with the views looked up.
 bool replicaServes(const Assignment &Value, TargetLookup Lookup, Instant Now);
 
 /// Whether a member may enter another assignment: it announces no replica, or a
