--- /dev/null
+++ b/packages/membership/bench/MembershipBench.cpp
@@ -0,0 +1,1 @@
+int main() {}
