Send probes only to slow replicas that are not busy

Change: a probe is sent only while this node has nothing outstanding there and the work reported for other nodes leaves a slot free. A test covers both; each fails when its condition is removed.

--- a/packages/routing/test/RoutingStrategyTest.cpp
+++ b/packages/routing/test/RoutingStrategyTest.cpp
@@ -151,6 +151,23 @@
   CHECK(Strategy.score(Slow, 0) > Strategy.score(candidate(1), 0));
 }
 
+TEST_CASE("nodes do not queue probes on a slow replica that is busy") {
+  std::vector<Candidate> All = {candidate(0), candidate(1)};
+  All[0].m_speedWeight = 0;
+  All[0].m_probeDue = true;
+  WeightedStrategy Strategy;
+  std::mt19937_64 Random(7);
+  auto Chosen = [&] {
+    return Strategy.choose(absl::UnixEpoch(), All, {}, Random);
+  };
+  CHECK(Chosen() == 0);
+  All[0].m_load.m_outstandingShort = 1;
+  CHECK(Chosen() == 1);
+  All[0].m_load.m_outstandingShort = 0;
+  All[0].m_load.m_othersShort = All[0].m_slots;
+  CHECK(Chosen() == 1);
+}
+
 TEST_CASE("a replica with an old report is not taken for an idle one") {
   Candidate Old = candidate(0);
   Old.m_load.m_reportAge = absl::InfiniteDuration();
--- a/packages/routing/turmericdyke/src/Routing/WeightedStrategy.cpp
+++ b/packages/routing/turmericdyke/src/Routing/WeightedStrategy.cpp
@@ -13,12 +13,20 @@
 /// Weight 0 is scored as this, for the case that only such candidates are left.
 constexpr double LeastSpeedWeight = 0.01;
 
+/// A request that runs measures the replica already, and each node that probes
+/// a full one adds to its queue.
+bool takesProbe(const Candidate &C) {
+  std::int64_t Own = C.m_load.m_outstandingShort + C.m_load.m_outstandingLong;
+  std::int64_t Others = C.m_load.m_othersShort + C.m_load.m_othersLong;
+  return C.m_probeDue && Own == 0 && Others < C.m_slots;
+}
+
 std::optional<std::size_t> findProbe(absl::Span<const Candidate> Candidates,
                                      const RouteRequest &Request) {
   if (Request.m_class == RequestClass::Long)
     return std::nullopt;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
-    if (Candidates[Index].m_probeDue && isAllowed(Candidates[Index], Request))
+    if (takesProbe(Candidates[Index]) && isAllowed(Candidates[Index], Request))
       return Index;
   return std::nullopt;
 }
