Make proportional control of the backlog the default

The bench now measures the gradient's latency from the submission to the engine; before, the wait in the node's queue counted against it. The test of the controller sets its target of 1 itself, with the same bound on the backlog.

--- a/bench/Engine.h
+++ b/bench/Engine.h
@@ -24,6 +24,7 @@
   RouteRequest m_route;
   Instant m_arrived;
   Instant m_firstTokenBy;
+  Instant m_submittedAt;
   Instant m_firstTokenAt = absl::InfiniteFuture();
   int m_replica = -1;
   double m_prefillLeft = 0;
--- a/bench/Simulation.cpp
+++ b/bench/Simulation.cpp
@@ -54,7 +54,7 @@
   if (C == Controller::Gradient)
     return std::make_unique<GradientController>(Bounds);
   if (C == Controller::Backlog)
-    return std::make_unique<BacklogController>(Bounds);
+    return makeConcurrencyController(Bounds);
   return nullptr;
 }
 
@@ -206,7 +206,8 @@
       m_nodes[static_cast<std::size_t>(J->m_node)]->m_admission.firstToken(
           m_now, J->m_id);
       double Wait = absl::ToDoubleSeconds(m_now - J->m_arrived);
-      m_firstTokenSamples[Replica].push_back(Wait);
+      m_firstTokenSamples[Replica].push_back(
+          absl::ToDoubleSeconds(m_now - J->m_submittedAt));
       if (!J->m_isLong)
         m_outcome.m_shortFirstToken.push_back(Wait);
     }
@@ -435,6 +436,7 @@
     N.m_stragglers.probeStarted(m_now, C.m_replica);
   N.m_loads.started(m_now, attemptId(*J), C.m_replica, J->m_class);
   N.m_prefixes.sent(C.m_replica, J->m_route.m_prefixHashes);
+  J->m_submittedAt = m_now;
   m_engines[static_cast<std::size_t>(J->m_replica)].submit(J);
   return true;
 }
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -25,7 +25,7 @@
   bool m_straggler = false;
   bool m_domainLoss = false;
   Balancer m_balancer = Balancer::Even;
-  Controller m_controller = Controller::Fixed;
+  Controller m_controller = Controller::Backlog;
   /// Without quotas each node has an equal, fixed part of all limits.
   bool m_quotas = true;
   double m_seconds = 60;
--- a/packages/admission/test/ControllersTest.cpp
+++ b/packages/admission/test/ControllersTest.cpp
@@ -53,7 +53,9 @@
 }
 
 TEST_CASE("the proportional controller holds the backlog at its target") {
-  BacklogController C({.m_least = 2, .m_start = 16, .m_most = 64});
+  BacklogOptions Options;
+  Options.m_target = 1;
+  BacklogController C({.m_least = 2, .m_start = 16, .m_most = 64}, Options);
   // An engine that runs 10 requests whatever it is given.
   std::int64_t Backlog = 0;
   for (int Step = 0; Step < 100; ++Step) {
--- a/packages/admission/turmericdyke/src/Admission/ConcurrencyController.h
+++ b/packages/admission/turmericdyke/src/Admission/ConcurrencyController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 
 #include "turmericdyke/src/Base/Instant.h"
 
@@ -30,4 +31,8 @@
   virtual std::int64_t limit() const = 0;
 };
 
+/// The controller that the bench favours: proportional control of the backlog.
+std::unique_ptr<ConcurrencyController>
+makeConcurrencyController(ConcurrencyBounds Bounds);
+
 } // namespace turmericdyke
