Run the control side on the replicated log, the directory and the planner

The in-memory control side of the thin path is replaced. ControlCore joins the replicated log, the replicated state, the read lease and the node's own commands in one state machine; ControlLoop is its shell; FleetSide joins membership, target directory and planner. Bootstrap forms the first voter set from the identities of the data directories. Plain services and once-only calls run against the replicated records.

Two classes named Descriptor and two named TargetView would have met in one program; the storage package's is now FileDescriptor and the directory's is DirectoryView.

--- a/packages/control/turmericdyke/src/Control/ControlState.cpp
+++ b/packages/control/turmericdyke/src/Control/ControlState.cpp
@@ -20,10 +20,29 @@
   if (Index <= m_appliedIndex)
     return CommandIgnored{};
   m_appliedIndex = Index;
+  return applyOne(Value);
+}
+
+CommandResult ControlState::applyOne(const Command &Value) {
   return std::visit([this](const auto &Inner) { return applyTo(Inner); },
                     Value);
 }
 
+std::vector<CommandResult>
+ControlState::applyEncodedBatch(std::uint64_t Index,
+                                const std::vector<std::string_view> &Batch) {
+  std::vector<CommandResult> Results(Batch.size(), CommandIgnored{});
+  if (Index <= m_appliedIndex)
+    return Results;
+  m_appliedIndex = Index;
+  for (std::size_t At = 0; At < Batch.size(); ++At) {
+    Result<Command, ControlError> Decoded = decodeCommand(Batch[At]);
+    Results[At] =
+        applyOne(Decoded ? Decoded.value() : Command(UnknownCommand{}));
+  }
+  return Results;
+}
+
 CommandResult ControlState::applyEncoded(std::uint64_t Index,
                                          std::string_view Bytes) {
   Result<Command, ControlError> Decoded = decodeCommand(Bytes);
--- a/packages/control/turmericdyke/src/Control/ControlState.h
+++ b/packages/control/turmericdyke/src/Control/ControlState.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "turmericdyke/src/Control/AssignmentTable.h"
 #include "turmericdyke/src/Control/ChangeLog.h"
@@ -42,6 +43,12 @@
   /// counted no-op on every node, since it is committed already.
   CommandResult applyEncoded(std::uint64_t Index, std::string_view Bytes);
 
+  /// Applies encoded commands that share one log entry, in their order. All of
+  /// them are ignored if the index was applied before.
+  std::vector<CommandResult>
+  applyEncodedBatch(std::uint64_t Index,
+                    const std::vector<std::string_view> &Batch);
+
   /// Canonical bytes: equal states give equal bytes.
   std::string snapshot() const;
   static Result<ControlState, ControlError> restore(std::string_view Bytes,
@@ -113,6 +120,7 @@
   void setTestHooks(const internal::ControlTestHooks &Hooks);
 
 private:
+  CommandResult applyOne(const Command &Value);
   CommandResult applyTo(const UnknownCommand &Value);
   CommandResult applyTo(const ApplyDeclaration &Value);
   CommandResult applyTo(const SetDrained &Value);
--- a/packages/edge/test/PortsTest.cpp
+++ b/packages/edge/test/PortsTest.cpp
@@ -8,11 +8,34 @@
 
 using namespace turmericdyke;
 
+namespace {
+
+/// A control side that takes nothing.
+class NoControl : public ControlPort {
+public:
+  OperatorReply declaration(std::optional<std::uint64_t>) override {
+    return {503, "{}"};
+  }
+  OperatorReply applyDeclaration(std::string_view) override {
+    return {503, "{}"};
+  }
+  OperatorReply history() override { return {503, "{}"}; }
+  OperatorReply status() override { return {503, "{}"}; }
+  OperatorReply drain(std::string_view) override { return {503, "{}"}; }
+  Submission submit(const Command &) override { return {}; }
+  Result<void, FleetError> announce(const TargetAnnouncement &) override {
+    return success();
+  }
+};
+
+} // namespace
+
 // Guards against the listen backlog of 5 that cpp-httplib is built with:
 // connections beyond it were dropped and came back a second later.
 TEST_CASE("a burst of 64 new connections is served without retransmissions") {
   EdgeServices Services;
-  CallerServer Server(Services, CallerOptions());
+  NoControl Control;
+  CallerServer Server(Services, Control, CallerOptions());
   REQUIRE(Server.start());
   std::atomic<int> Fast{0};
   std::vector<std::thread> Callers;
@@ -34,7 +57,8 @@
 TEST_CASE(
     "a node without a read lease is not ready and refuses work as not run") {
   EdgeServices Services;
-  CallerServer Server(Services, CallerOptions());
+  NoControl Control;
+  CallerServer Server(Services, Control, CallerOptions());
   REQUIRE(Server.start());
   httplib::Client Client("127.0.0.1", Server.port());
   httplib::Result Ready = Client.Get("/readyz");
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
@@ -1,10 +1,13 @@
 #include "turmericdyke/src/Edge/CallerServer.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Edge/ConnectionThreads.h"
+#include "turmericdyke/src/Edge/ServiceRoute.h"
 
 namespace turmericdyke {
 
@@ -13,6 +16,9 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t MaxIdempotencyKeyBytes = 255;
+constexpr std::size_t ServicePrefixBytes =
+    std::string_view("/v1/services/").size();
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr absl::Duration RetryWithoutLease = absl::Seconds(1);
 constexpr absl::Duration RetryWithoutReplica = absl::Seconds(2);
@@ -70,8 +76,10 @@
 } // namespace
 } // namespace internal
 
-CallerServer::CallerServer(EdgeServices &Services, CallerOptions Options)
-    : m_services(Services), m_options(std::move(Options)) {
+CallerServer::CallerServer(EdgeServices &Services, ControlPort &Control,
+                           CallerOptions Options)
+    : m_services(Services), m_serviceHandler(Services, Control),
+      m_options(std::move(Options)) {
   m_server.new_task_queue = [Max = m_options.m_maxConnections] {
     return new ConnectionThreads(Max);
   };
@@ -116,6 +124,14 @@
   };
   m_server.Post("/v1/chat/completions", Completion);
   m_server.Post("/v1/completions", Completion);
+  auto Service = [this](const auto &Request, auto &Response) {
+    onService(Request, Response);
+  };
+  constexpr const char *ServicePattern = R"(/v1/services/([^/]+)(/.*))";
+  m_server.Get(ServicePattern, Service);
+  m_server.Post(ServicePattern, Service);
+  m_server.Put(ServicePattern, Service);
+  m_server.Delete(ServicePattern, Service);
   m_server.Get("/v1/models", [this](const auto &Request, auto &Response) {
     onModels(Request, Response);
   });
@@ -197,6 +213,61 @@
                        "application/json");
 }
 
+void CallerServer::onService(const httplib::Request &Request,
+                             httplib::Response &Response) {
+  Instant Now = monotonicNow();
+  RequestId Id(m_services.nextId());
+  std::optional<Authenticated> Caller = authenticate(Request, Id, Response);
+  if (!Caller)
+    return;
+  const Declaration &Declared = *Caller->m_view->m_declaration;
+  ServiceCall Call;
+  Call.m_request = Id;
+  Call.m_customer = Caller->m_customer;
+  Call.m_service = ServiceId(Request.matches[1].str());
+  const std::vector<ServiceId> &Allowed =
+      Declared.m_customers.at(Call.m_customer).m_services;
+  auto Service = Declared.m_services.find(Call.m_service);
+  bool MayCall = std::find(Allowed.begin(), Allowed.end(), Call.m_service) !=
+                 Allowed.end();
+  if (!MayCall || Service == Declared.m_services.end())
+    return refuse({403, "service_not_allowed",
+                   "the customer may not call this service", Outcome::NotRun,
+                   std::nullopt},
+                  Id, Call.m_customer, Response);
+  Call.m_method = Request.method;
+  Call.m_operation =
+      findOperation(Service->second, Request.method, Request.matches[2].str());
+  if (Call.m_operation == nullptr)
+    return refuse({404, "unknown_operation",
+                   "the service declares no such operation", Outcome::NotRun,
+                   std::nullopt},
+                  Id, Call.m_customer, Response);
+  Call.m_idempotencyKey = Request.get_header_value("Idempotency-Key");
+  if (Call.m_idempotencyKey.size() > internal::MaxIdempotencyKeyBytes)
+    return refuse({400, "idempotency_key_too_long",
+                   "the idempotency key is longer than 255 bytes",
+                   Outcome::NotRun, std::nullopt},
+                  Id, Call.m_customer, Response);
+  // The target is the path and query as they were sent.
+  Call.m_path = Request.target.substr(
+      Request.target.find('/', internal::ServicePrefixBytes));
+  Call.m_contentType = Request.get_header_value("Content-Type");
+  Call.m_body = Request.body;
+  Call.m_deadline = Now + Service->second.m_deadline;
+  ++m_inFlight;
+  ServiceReply Reply = m_serviceHandler.run(Call);
+  --m_inFlight;
+  if (Reply.m_error)
+    return refuse(*Reply.m_error, Id, Call.m_customer, Response);
+  Response.status = Reply.m_status;
+  Response.set_header("X-Turmericdyke-Outcome", "ran");
+  Response.set_header("X-Turmericdyke-Request", Id.str());
+  if (Reply.m_replayed)
+    Response.set_header("Idempotent-Replayed", "true");
+  Response.set_content(Reply.m_body, Reply.m_contentType);
+}
+
 void CallerServer::onCompletion(const httplib::Request &Request,
                                 httplib::Response &Response) {
   Instant Now = monotonicNow();
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.h
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.h
@@ -15,6 +15,7 @@
 #include "turmericdyke/src/Edge/Exchange.h"
 #include "turmericdyke/src/Edge/KeyTable.h"
 #include "turmericdyke/src/Edge/Replies.h"
+#include "turmericdyke/src/Edge/ServiceHandler.h"
 
 namespace turmericdyke {
 
@@ -31,7 +32,8 @@
 /// metrics.
 class CallerServer {
 public:
-  CallerServer(EdgeServices &Services, CallerOptions Options);
+  CallerServer(EdgeServices &Services, ControlPort &Control,
+               CallerOptions Options);
   ~CallerServer();
 
   /// Binds the port; false when it cannot be bound.
@@ -58,6 +60,7 @@
                    httplib::Response &Response);
   bool writeStream(Exchange &Running, ExchangeStep Step,
                    httplib::DataSink &Sink);
+  void onService(const httplib::Request &Request, httplib::Response &Response);
   void onModels(const httplib::Request &Request, httplib::Response &Response);
   std::optional<Authenticated> authenticate(const httplib::Request &Request,
                                             const RequestId &Id,
@@ -68,6 +71,7 @@
   void noteEnd(const Exchange &Running, const AttemptResult &Result);
 
   EdgeServices &m_services;
+  ServiceHandler m_serviceHandler;
   CallerOptions m_options;
   ListenBacklog m_backlog;
   httplib::Server m_server;
--- a/packages/edge/turmericdyke/src/Edge/ClusterView.h
+++ b/packages/edge/turmericdyke/src/Edge/ClusterView.h
@@ -20,6 +20,7 @@
   /// IP:port of the head member.
   std::string m_headAddress;
   TargetId m_head;
+  std::uint64_t m_headIncarnation = 0;
   std::int64_t m_slots = 0;
   TargetLoad m_load;
   /// When the load was reported, by this process's clock.
--- a/packages/edge/turmericdyke/src/Edge/ControlPort.h
+++ b/packages/edge/turmericdyke/src/Edge/ControlPort.h
@@ -6,6 +6,8 @@
 #include <string_view>
 
 #include "turmericdyke/src/Base/Result.h"
+#include "turmericdyke/src/Control/Command.h"
+#include "turmericdyke/src/Control/CommandResult.h"
 #include "turmericdyke/src/Fleet/FleetError.h"
 #include "turmericdyke/src/Fleet/TargetAnnouncement.h"
 
@@ -17,6 +19,14 @@
   std::string m_body;
 };
 
+/// The end of a command that was handed to the replicated log.
+struct Submission {
+  /// Whether it was committed, certainly not taken, or unknown.
+  enum class Status { Committed, NotRun, Unknown } m_status = Status::NotRun;
+  /// Set when it was committed.
+  CommandResult m_result;
+};
+
 /// What the HTTP ports ask of the control side. Calls come from connection
 /// threads and may wait for a commit, within the bound that the implementation
 /// states.
@@ -29,6 +39,9 @@
   virtual OperatorReply history() = 0;
   virtual OperatorReply status() = 0;
   virtual OperatorReply drain(std::string_view Body) = 0;
+  /// Hands a command to the replicated log and waits for its result, at most
+  /// about 5 s.
+  virtual Submission submit(const Command &Value) = 0;
   /// Takes an announcement; an error when it contradicts what is known of the
   /// target.
   virtual Result<void, FleetError>
--- a/packages/edge/turmericdyke/src/Edge/Exchange.cpp
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.cpp
@@ -3,21 +3,17 @@
 #include <algorithm>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Edge/AttemptRun.h"
 #include "turmericdyke/src/Edge/EdgeServices.h"
-#include "turmericdyke/src/Edge/TargetConnection.h"
 
 namespace turmericdyke {
 
 namespace internal {
 namespace {
 
-/// How often the caller's connection is checked while the target is silent.
-constexpr absl::Duration CallerCheckInterval = absl::Milliseconds(100);
-
 httplib::Headers attemptHeaders(const CompletionCall &Call,
                                 const AttemptId &Attempt,
                                 const ServingReplica &Replica) {
@@ -39,13 +35,10 @@
 }
 
 Exchange::~Exchange() {
-  if (!m_machine || m_machine->ended())
-    return;
-  finishAttempt(m_machine->onCallerGone(monotonicNow()));
+  if (m_run)
+    finishAttempt(*m_run->abandon().m_result);
 }
 
-const std::string &Exchange::body() const { return m_machine->body(); }
-
 bool Exchange::startAttempt() {
   std::shared_ptr<const ClusterView> View = m_services.m_views.get();
   m_replica = m_services.m_router.start(*View, m_call.m_pool, m_failed);
@@ -60,63 +53,34 @@
       m_call.m_stream ? m_call.m_firstTokenBy - Now : m_call.m_deadline - Now;
   AnswerShape Shape =
       m_call.m_stream ? AnswerShape::EventStream : AnswerShape::Completion;
-  m_machine = std::make_unique<AttemptMachine>(m_attempt, Shape, Limits, Now);
-  m_machine->onSending();
   TargetCall Call;
   Call.m_address = m_replica->m_headAddress;
   Call.m_method = "POST";
   Call.m_path = m_call.m_path;
   Call.m_headers = internal::attemptHeaders(m_call, m_attempt, *m_replica);
   Call.m_body = m_call.m_body;
-  m_connection = std::make_unique<TargetConnection>(std::move(Call));
+  m_run =
+      std::make_unique<AttemptRun>(m_attempt, Shape, Limits, std::move(Call));
   return true;
 }
 
-AttemptActions
-Exchange::waitForEvent(const std::function<bool()> &CallerAlive) {
-  for (;;) {
-    absl::Duration Wait = std::min(m_machine->nextCheck() - monotonicNow(),
-                                   internal::CallerCheckInterval);
-    std::optional<ConnectionEvent> Event =
-        m_connection->next(std::max(Wait, absl::ZeroDuration()));
-    Instant Now = monotonicNow();
-    if (!Event) {
-      if (!CallerAlive())
-        return m_machine->onCallerGone(Now);
-      AttemptActions Actions = m_machine->onTick(Now);
-      if (Actions.m_result)
-        return Actions;
-      continue;
-    }
-    if (Event->m_head)
-      return m_machine->onHead(Now, *Event->m_head);
-    if (Event->m_end)
-      return m_machine->onConnectionEnd(Now, *Event->m_end);
-    return m_machine->onBody(Now, Event->m_bytes);
-  }
-}
-
 ExchangeStep Exchange::next(const std::function<bool()> &CallerAlive) {
   for (;;) {
-    if (!m_connection && !startAttempt())
+    if (!m_run && !startAttempt())
       return {"", m_lastResult};
-    AttemptActions Actions = waitForEvent(CallerAlive);
+    AttemptActions Actions = m_run->next(CallerAlive);
     if (!Actions.m_forward.empty())
-      noteProgress(Actions.m_forward);
-    if (!Actions.m_result) {
-      if (Actions.m_forward.empty())
-        continue;
+      noteProgress();
+    if (!Actions.m_result)
       return {std::move(Actions.m_forward), std::nullopt};
-    }
-    finishAttempt(Actions);
-    m_lastResult = *Actions.m_result;
+    finishAttempt(*Actions.m_result);
     if (retry(*Actions.m_result))
       continue;
     return {std::move(Actions.m_forward), Actions.m_result};
   }
 }
 
-void Exchange::noteProgress(const std::string &) {
+void Exchange::noteProgress() {
   Instant Now = monotonicNow();
   if (!m_firstToken) {
     m_firstToken = Now;
@@ -131,14 +95,12 @@
   m_lastToken = Now;
 }
 
-void Exchange::finishAttempt(const AttemptActions &Actions) {
-  if (Actions.m_closeConnection)
-    m_connection->close();
-  if (Actions.m_cancelAtTarget)
-    cancelAtTarget();
-  m_connection.reset();
+void Exchange::finishAttempt(const AttemptResult &Result) {
+  if (Result.m_end == AttemptEnd::Complete)
+    m_body = m_run->machine().body();
+  m_run.reset();
+  m_lastResult = Result;
   m_services.m_router.finish(m_replica->m_replica);
-  const AttemptResult &Result = *Actions.m_result;
   m_services.m_metrics.increment("turmericdyke_attempts_total",
                                  {{"end", nameOf(Result.m_end)}});
   LogLevel Level = Result.m_end == AttemptEnd::Complete ? LogLevel::Debug
@@ -154,26 +116,6 @@
       .field("tokens", Result.m_tokens);
 }
 
-void Exchange::cancelAtTarget() {
-  // The closed connection tells most engines; the message tells those that
-  // notice late.
-  TargetCall Call;
-  Call.m_address = m_replica->m_headAddress;
-  Call.m_method = "POST";
-  Call.m_path = "/v1/cancel";
-  Call.m_headers = {{"Content-Type", "application/json"}};
-  Call.m_body = nlohmann::json{{"attempt", m_attempt.str()}}.dump();
-  Call.m_connectTimeout = absl::Milliseconds(200);
-  Call.m_readTimeout = absl::Milliseconds(200);
-  TargetConnection Cancel(std::move(Call));
-  Instant Until = monotonicNow() + absl::Milliseconds(400);
-  while (monotonicNow() < Until) {
-    std::optional<ConnectionEvent> Event = Cancel.next(Until - monotonicNow());
-    if (Event && Event->m_end)
-      return;
-  }
-}
-
 bool Exchange::retry(const AttemptResult &Result) {
   RetryRequest Facts;
   Facts.m_repeatable = true;
--- a/packages/edge/turmericdyke/src/Edge/Exchange.h
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.h
@@ -9,13 +9,12 @@
 
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Edge/ClusterView.h"
-#include "turmericdyke/src/Requests/AttemptMachine.h"
 #include "turmericdyke/src/Requests/RetryPolicy.h"
 
 namespace turmericdyke {
 
 struct EdgeServices;
-class TargetConnection;
+class AttemptRun;
 
 /// One accepted completion request on its way through attempts.
 struct CompletionCall {
@@ -49,16 +48,14 @@
   /// target is silent.
   ExchangeStep next(const std::function<bool()> &CallerAlive);
   /// Body of a complete answer that is not streamed.
-  const std::string &body() const;
+  const std::string &body() const { return m_body; }
   std::int64_t attempts() const { return m_attempts; }
   const CompletionCall &call() const { return m_call; }
 
 private:
   bool startAttempt();
-  AttemptActions waitForEvent(const std::function<bool()> &CallerAlive);
-  void finishAttempt(const AttemptActions &Actions);
-  void cancelAtTarget();
-  void noteProgress(const std::string &Bytes);
+  void finishAttempt(const AttemptResult &Result);
+  void noteProgress();
   bool retry(const AttemptResult &Result);
 
   EdgeServices &m_services;
@@ -67,8 +64,8 @@
   std::set<ReplicaId> m_failed;
   std::optional<ServingReplica> m_replica;
   AttemptId m_attempt;
-  std::unique_ptr<AttemptMachine> m_machine;
-  std::unique_ptr<TargetConnection> m_connection;
+  std::unique_ptr<AttemptRun> m_run;
+  std::string m_body;
   /// Reported when no replica is left to try.
   AttemptResult m_lastResult{AttemptEnd::ConnectFailed, 0, false, false, 0};
   std::optional<Instant> m_firstToken;
--- a/packages/fleet/turmericdyke/src/Fleet/TargetDigest.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/TargetDigest.cpp
@@ -63,6 +63,8 @@
     Value["full"] = true;
   if (Digest.m_requestFull)
     Value["request_full"] = true;
+  Value["revision"] = Digest.m_revision;
+  Value["lease"] = Digest.m_leaseValid;
   if (Digest.m_echoIncarnation != 0) {
     Value["echo_us"] = Digest.m_echoUs;
     Value["echo_held_us"] = Digest.m_echoHeldUs;
@@ -93,7 +95,9 @@
       .number("sent_at_us", Read.m_sentAtUs)
       .number("echo_us", Read.m_echoUs)
       .number("echo_held_us", Read.m_echoHeldUs)
-      .number("echo_incarnation", Read.m_echoIncarnation);
+      .number("echo_incarnation", Read.m_echoIncarnation)
+      .number("revision", Read.m_revision)
+      .flag("lease", Read.m_leaseValid);
   if (Read.m_echoHeldUs < 0)
     Reader.fail("echo_held_us", "is negative");
   if (!Reader.error()) {
--- a/packages/fleet/turmericdyke/src/Fleet/TargetDigest.h
+++ b/packages/fleet/turmericdyke/src/Fleet/TargetDigest.h
@@ -47,6 +47,10 @@
   std::int64_t m_echoUs = 0;
   std::int64_t m_echoHeldUs = 0;
   std::uint64_t m_echoIncarnation = 0;
+  /// Revision that is in force at the sender, and whether it holds a read
+  /// lease.
+  std::uint64_t m_revision = 0;
+  bool m_leaseValid = false;
   std::vector<DigestEntry> m_entries;
   /// One byte a slot: age in units of 20 ms, rounded up; 255 when the slot is
   /// unused or its age does not fit.
--- a/packages/membership/test/TargetDirectoryTest.cpp
+++ b/packages/membership/test/TargetDirectoryTest.cpp
@@ -87,7 +87,7 @@
     collect();
     return Outcome;
   }
-  std::optional<TargetView> find(std::size_t Index, const char *Target) {
+  std::optional<DirectoryView> find(std::size_t Index, const char *Target) {
     return m_directories[Index]->find(clock(Index), TargetId(Target));
   }
 
@@ -279,7 +279,7 @@
       }
       for (std::size_t By = 0; By < Nodes; ++By)
         for (std::size_t Of = 0; Of < 2; ++Of) {
-          std::optional<TargetView> View = Three.find(By, Targets[Of]);
+          std::optional<DirectoryView> View = Three.find(By, Targets[Of]);
           if (!View)
             continue;
           RC_ASSERT(View->m_age >= Three.m_now - Heard[Of]);
--- a/packages/membership/turmericdyke/src/Membership/TargetDirectory.cpp
+++ b/packages/membership/turmericdyke/src/Membership/TargetDirectory.cpp
@@ -376,22 +376,22 @@
   return std::exchange(m_digests, {});
 }
 
-TargetView TargetDirectory::viewOf(Instant Now, const Target &Known) const {
+DirectoryView TargetDirectory::viewOf(Instant Now, const Target &Known) const {
   absl::Duration Age = Now - Known.m_heardAt;
   return {Known.m_announcement, Age, Known.m_voucher,
           Age <= m_options.m_freshFor};
 }
 
-std::vector<TargetView> TargetDirectory::snapshot(Instant Now) const {
-  std::vector<TargetView> Views;
+std::vector<DirectoryView> TargetDirectory::snapshot(Instant Now) const {
+  std::vector<DirectoryView> Views;
   for (const auto &[Id, Known] : m_targets)
     if (Known.m_heardAt != absl::InfinitePast())
       Views.push_back(viewOf(Now, Known));
   return Views;
 }
 
-std::optional<TargetView> TargetDirectory::find(Instant Now,
-                                                const TargetId &Target) const {
+std::optional<DirectoryView>
+TargetDirectory::find(Instant Now, const TargetId &Target) const {
   auto Found = m_targets.find(Target);
   if (Found == m_targets.end() ||
       Found->second.m_heardAt == absl::InfinitePast())
--- a/packages/membership/turmericdyke/src/Membership/TargetDirectory.h
+++ b/packages/membership/turmericdyke/src/Membership/TargetDirectory.h
@@ -32,7 +32,7 @@
 };
 
 /// What planner and router know of a target.
-struct TargetView {
+struct DirectoryView {
   std::shared_ptr<const TargetAnnouncement> m_announcement;
   /// Upper bound of the time since the target's last announcement to any node,
   /// as far as this node knows.
@@ -86,8 +86,8 @@
   std::vector<DigestSend> takeDigests();
 
   /// All targets with a known age, sorted by identifier.
-  std::vector<TargetView> snapshot(Instant Now) const;
-  std::optional<TargetView> find(Instant Now, const TargetId &Target) const;
+  std::vector<DirectoryView> snapshot(Instant Now) const;
+  std::optional<DirectoryView> find(Instant Now, const TargetId &Target) const;
   const TargetDirectoryCounts &counts() const { return m_counts; }
 
 private:
@@ -120,7 +120,7 @@
   bool assignSlot(const TargetId &Id, Target &Local);
   void releaseSlot(Target &Local);
   void noteChanges(Target &Local, const TargetAnnouncement &New);
-  TargetView viewOf(Instant Now, const Target &Known) const;
+  DirectoryView viewOf(Instant Now, const Target &Known) const;
 
   Peer *peerOf(Instant Now, const TargetDigest &Digest);
   Instant sentNotBefore(Instant Now, const TargetDigest &Digest) const;
--- /dev/null
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "absl/random/random.h"
+#include "absl/synchronization/mutex.h"
+#include "turmericdyke/src/Edge/ControlPort.h"
+#include "turmericdyke/src/Edge/EdgeServices.h"
+#include "turmericdyke/src/Node/Bootstrap.h"
+#include "turmericdyke/src/Node/ControlCore.h"
+#include "turmericdyke/src/Node/FleetSide.h"
+#include "turmericdyke/src/Node/OrderSender.h"
+#include "turmericdyke/src/Node/Settings.h"
+#include "turmericdyke/src/Peer/PeerTransport.h"
+#include "turmericdyke/src/Storage/DataDirectory.h"
+
+namespace turmericdyke {
+
+/// The shell of the control side: one thread that feeds events to the pure
+/// state machines, writes to the data directory, sends messages to other nodes
+/// and publishes the view for request threads.
+class ControlLoop : public ControlPort {
+public:
+  /// `Directory` is empty on a learner and on a node without durable state.
+  ControlLoop(EdgeServices &Services, const Settings &Checked,
+              std::optional<DataDirectory> Directory);
+  ~ControlLoop() override;
+
+  /// Opens the peer port and starts the thread; an error text on failure.
+  Result<void, std::string> start();
+  /// Hands over leadership, then ends the thread.
+  void stop();
+
+  OperatorReply declaration(std::optional<std::uint64_t> Revision) override;
+  OperatorReply applyDeclaration(std::string_view Body) override;
+  OperatorReply history() override;
+  OperatorReply status() override;
+  OperatorReply drain(std::string_view Body) override;
+  Result<void, FleetError>
+  announce(const TargetAnnouncement &Announcement) override;
+  Submission submit(const Command &Value) override;
+
+private:
+  struct Waiter;
+  struct Submitted {
+    Command m_command;
+    std::shared_ptr<Waiter> m_waiter;
+  };
+  /// Something to run on the control thread.
+  using Task = std::function<void(Instant)>;
+  using Event = std::variant<ReceivedMessage, Submitted, Task>;
+
+  void push(Event Value);
+  /// Runs `Work` on the control thread and waits for it; false when the loop
+  /// has stopped.
+  bool runOnLoop(const Task &Work);
+  void run();
+  std::deque<Event> takeEvents();
+  /// Creates `m_core`; false when the cluster cannot be formed or the loop is
+  /// stopped.
+  bool formCluster();
+  bool bootstrapDirectory();
+  /// Serves what can be served before or without the replicated state.
+  void handleWithoutCore(Event &Value);
+  void waitForStop();
+  bool stopped();
+  void handle(Event &Value);
+  void turn();
+  void persistActions();
+  void deliver(ControlOutput Output);
+  void sendAll(const std::vector<AddressedMessage> &Messages);
+  void writeSnapshot(const Snapshot &Value);
+  void stepFleet(Instant Now);
+  void publish(Instant Now);
+  void logEvent(const RaftEvent &Value);
+  std::string statusJson(Instant Now);
+  ControlCoreOptions coreOptions() const;
+
+  EdgeServices &m_services;
+  Settings m_settings;
+  std::optional<DataDirectory> m_directory;
+  std::unique_ptr<PeerTransport> m_transport;
+  OrderSender m_orders;
+
+  absl::Mutex m_lock;
+  std::deque<Event> m_events ABSL_GUARDED_BY(m_lock);
+  bool m_stopped ABSL_GUARDED_BY(m_lock) = false;
+
+  // Of the control thread only.
+  absl::BitGen m_random;
+  std::optional<ControlCore> m_core;
+  std::optional<FleetSide> m_fleet;
+  std::set<std::uint64_t> m_fleetTickets;
+  std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
+  Instant m_nextFleetStep = absl::InfinitePast();
+
+  std::thread m_thread;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/node/turmericdyke/src/Node/CoreMessage.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "turmericdyke/src/Base/StringId.h"
+#include "turmericdyke/src/Consensus/RaftMessage.h"
+#include "turmericdyke/src/Control/ReadLease.h"
+#include "turmericdyke/src/Fleet/SwimMessage.h"
+#include "turmericdyke/src/Fleet/TargetDigest.h"
+#include "turmericdyke/src/Peer/PeerMessages.h"
+
+namespace turmericdyke {
+
+/// Sent between initial voters until the cluster is formed: the identity of the
+/// sender's data directory, and the voter set once it has one.
+struct BootstrapMessage {
+  std::string m_identity;
+  /// The sender has a log or has voted.
+  bool m_formed = false;
+  /// The voter set of the log; before that the set the sender proposes, empty
+  /// while it does not know all identities.
+  VoterSet m_voters;
+};
+
+/// A message between the control sides of two nodes.
+using CoreMessage =
+    std::variant<RaftMessage, ReadLeaseRequest, ReadLeaseGrant, Propose,
+                 ProposeResult, BootstrapMessage, SwimMessage, TargetDigest>;
+
+struct AddressedMessage {
+  NodeId m_to;
+  /// IP:port, used when the node's name is not known.
+  std::string m_address;
+  CoreMessage m_message;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/node/turmericdyke/src/Node/FleetSide.cpp
@@ -0,0 +1,307 @@
+#include "turmericdyke/src/Node/FleetSide.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Numbers asked for at a time. A plan uses a few per move, and asking costs a
+/// log entry.
+constexpr std::uint64_t FencesPerBlock = 4096;
+/// Digests come every 500 ms; what a peer said of itself is believed this long.
+constexpr absl::Duration PeerFactsLife = absl::Seconds(3);
+
+std::string_view nameOf(AssignmentPhase Phase) {
+  return Phase == AssignmentPhase::Active ? "active" : "ending";
+}
+
+bool isDrained(const ControlState &State, const TargetAnnouncement &Shown) {
+  return State.drainedTargets().count(Shown.m_target) > 0 ||
+         State.drainedHosts().count(Shown.m_host) > 0;
+}
+
+/// The planner's and router's view of a target: an age as an instant.
+TargetView viewOf(const std::map<TargetId, DirectoryView> &Targets, Instant Now,
+                  const TargetId &Target) {
+  auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return {};
+  return {Found->second.m_announcement.get(), Now - Found->second.m_age};
+}
+
+/// Slots of each pool's replicas.
+std::map<std::string, std::int64_t> slotsOf(const ControlState &State) {
+  std::map<std::string, std::int64_t> Slots;
+  if (State.declaration())
+    for (const PoolView &Pool : poolsOf(*State.declaration()))
+      Slots[Pool.m_name] = Pool.m_model.m_slotsPerReplica;
+  return Slots;
+}
+
+NodeMembershipOptions membershipOptions(const FleetOptions &Options) {
+  NodeMembershipOptions Swim;
+  Swim.m_node = Options.m_node;
+  Swim.m_address = Options.m_address;
+  Swim.m_incarnation = Options.m_incarnation;
+  Swim.m_seeds = Options.m_seeds;
+  return Swim;
+}
+
+TargetDirectoryOptions directoryOptions(const FleetOptions &Options) {
+  TargetDirectoryOptions Directory;
+  Directory.m_node = Options.m_node;
+  Directory.m_incarnation = Options.m_incarnation;
+  return Directory;
+}
+
+std::string_view refusalOf(AnnounceOutcome Outcome) {
+  return Outcome == AnnounceOutcome::TooMany
+             ? "this node vouches for too many targets"
+             : "the name belongs to a target on another host or address";
+}
+
+ServingReplica servingReplica(const Assignment &Value, const TargetView &Head,
+                              std::int64_t Slots) {
+  ServingReplica Serving;
+  Serving.m_replica = Value.m_replica;
+  Serving.m_generation = Value.m_generation;
+  Serving.m_headAddress = Head.m_announcement->m_address;
+  Serving.m_head = Head.m_announcement->m_target;
+  Serving.m_headIncarnation = Head.m_announcement->m_incarnation;
+  Serving.m_slots = Slots;
+  Serving.m_load = Head.m_announcement->m_load;
+  Serving.m_loadTime = Head.m_lastHeard;
+  Serving.m_cacheEvents = Head.m_announcement->m_cacheEvents;
+  return Serving;
+}
+
+Json targetJson(const DirectoryView &Known, const ControlState &State) {
+  const TargetAnnouncement &Shown = *Known.m_announcement;
+  return {{"target", Shown.m_target.str()},
+          {"host", Shown.m_host.str()},
+          {"kind", nameOf(Shown.m_kind)},
+          {"state", nameOf(Shown.m_state)},
+          {"fabric_domain", Shown.m_fabricDomain.str()},
+          {"failure_domain", Shown.m_failureDomain.str()},
+          {"replica", Shown.m_membership.m_replica.str()},
+          {"voucher", Known.m_voucher.str()},
+          {"age_ms", absl::ToInt64Milliseconds(Known.m_age)},
+          {"drained", isDrained(State, Shown)}};
+}
+
+} // namespace
+} // namespace internal
+
+FleetSide::FleetSide(FleetOptions Options, Instant Now)
+    : m_options(std::move(Options)),
+      m_membership(internal::membershipOptions(m_options), Now),
+      m_directory(internal::directoryOptions(m_options), Now),
+      m_observingSince(Now) {}
+
+Result<void, FleetError>
+FleetSide::announce(Instant Now, const TargetAnnouncement &Announcement) {
+  AnnounceOutcome Taken = m_directory.announce(Now, Announcement);
+  // A late announcement is no fault of the target, which just goes on.
+  if (Taken == AnnounceOutcome::Accepted || Taken == AnnounceOutcome::Late)
+    return success();
+  return failure(
+      FleetError{"/target", std::string(internal::refusalOf(Taken))});
+}
+
+void FleetSide::receive(Instant Now, const NodeId &From,
+                        const TargetDigest &Digest) {
+  // The transport has authenticated the sender; a node speaks for itself only.
+  if (Digest.m_from != From)
+    return;
+  m_peers[From] = {Digest.m_revision, Digest.m_leaseValid, Now};
+  m_directory.receive(Now, Digest);
+}
+
+void FleetSide::receive(Instant Now, const SwimMessage &Message,
+                        absl::BitGenRef Random) {
+  m_membership.handle(Now, Message, Random);
+}
+
+FleetOutput FleetSide::step(Instant Now, const ControlState &State,
+                            const FleetFacts &Facts, absl::BitGenRef Random) {
+  FleetOutput Output;
+  m_membership.tick(Now, Random);
+  takeMembership(Output, Facts.m_leads);
+  std::vector<NodeId> Live = m_membership.liveNodes();
+  m_directory.setPeers(Live);
+  m_directory.tick(Now);
+  takeDigests(State, Facts.m_leaseValid, Output);
+  if (Facts.m_leads)
+    lead(Now, State, Output);
+  else
+    m_leadership.reset();
+  return Output;
+}
+
+void FleetSide::takeMembership(FleetOutput &Output, bool Leads) {
+  MembershipActions Actions = m_membership.takeActions();
+  for (SwimSend &Send : Actions.m_sends)
+    Output.m_messages.push_back(
+        {Send.m_to, Send.m_address, std::move(Send.m_message)});
+  for (const NodeUpdate &Change : Actions.m_changes) {
+    bool Gone =
+        Change.m_state == NodeState::Dead || Change.m_state == NodeState::Left;
+    if (Gone && Leads)
+      Output.m_commands.emplace_back(
+          NodeLost{Change.m_node, Change.m_incarnation});
+  }
+  Output.m_nodeChanges = std::move(Actions.m_changes);
+}
+
+void FleetSide::takeDigests(const ControlState &State, bool LeaseValid,
+                            FleetOutput &Output) {
+  for (DigestSend &Send : m_directory.takeDigests()) {
+    Send.m_digest.m_revision = State.revision();
+    Send.m_digest.m_leaseValid = LeaseValid;
+    Output.m_messages.push_back({Send.m_to, "", std::move(Send.m_digest)});
+  }
+}
+
+void FleetSide::lead(Instant Now, const ControlState &State,
+                     FleetOutput &Output) {
+  if (!m_leadership) {
+    m_leadership.emplace();
+    m_leadership->m_since = Now;
+  }
+  if (m_leadership->m_openCommands == 0 && State.declaration()) {
+    Plan Made = plan(Now, State);
+    for (AssignmentChange &Change : Made.m_changes)
+      Output.m_commands.push_back(toCommand(std::move(Change)));
+    if (Made.m_needsFences)
+      Output.m_commands.emplace_back(
+          AdvanceFence{m_options.m_node, internal::FencesPerBlock});
+    TargetMap Targets = targetMap(Now);
+    for (Order &Sent : Made.m_orders) {
+      auto Known = Targets.find(Sent.m_target);
+      if (Known != Targets.end())
+        Output.m_orders.push_back(
+            {Known->second.m_announcement->m_address, std::move(Sent)});
+    }
+  }
+  m_leadership->m_openCommands +=
+      static_cast<std::int64_t>(Output.m_commands.size());
+}
+
+FleetSide::TargetMap FleetSide::targetMap(Instant Now) const {
+  TargetMap Targets;
+  for (DirectoryView &Known : m_directory.snapshot(Now))
+    Targets.emplace(Known.m_announcement->m_target, std::move(Known));
+  return Targets;
+}
+
+Plan FleetSide::plan(Instant Now, const ControlState &State) {
+  std::vector<DirectoryView> Known = m_directory.snapshot(Now);
+  std::vector<TargetView> Targets;
+  for (const DirectoryView &Entry : Known)
+    Targets.push_back({Entry.m_announcement.get(), Now - Entry.m_age});
+  std::vector<PoolView> Pools = poolsOf(*State.declaration());
+  std::vector<std::shared_ptr<const Assignment>> Assignments;
+  for (const auto &[Id, Existing] : State.assignments())
+    Assignments.push_back(Existing);
+  std::vector<DepartingMember> Departing;
+  for (const auto &[Host, Member] : State.departingHosts())
+    Departing.push_back(Member);
+  PlannerInput Input;
+  Input.m_targets = Targets;
+  Input.m_pools = Pools;
+  Input.m_assignments = Assignments;
+  Input.m_departing = Departing;
+  Input.m_drainedTargets = &State.drainedTargets();
+  Input.m_drainedHosts = &State.drainedHosts();
+  Input.m_fences = m_leadership->m_fences;
+  Input.m_leaderSince = m_leadership->m_since;
+  Input.m_observingSince = m_observingSince;
+  return m_leadership->m_planner.plan(Now, Input);
+}
+
+void FleetSide::commandDone(bool Committed, const CommandResult &Done) {
+  if (!m_leadership || m_leadership->m_openCommands == 0)
+    return;
+  --m_leadership->m_openCommands;
+  const auto *Granted = std::get_if<FencesGranted>(&Done);
+  if (Committed && Granted != nullptr)
+    m_leadership->m_fences = {Granted->m_first,
+                              Granted->m_first + Granted->m_count};
+}
+
+void FleetSide::fillView(Instant Now, const ControlState &State,
+                         ClusterView &View) const {
+  TargetMap Targets = targetMap(Now);
+  auto Lookup = [&](const TargetId &Target) {
+    return internal::viewOf(Targets, Now, Target);
+  };
+  std::map<std::string, std::int64_t> Slots = internal::slotsOf(State);
+  for (const auto &[Id, Existing] : State.assignments()) {
+    if (!replicaServes(*Existing, Lookup, Now))
+      continue;
+    TargetView Head = Lookup(Existing->m_members.front().m_target);
+    View.m_pools[Existing->m_pool].push_back(
+        internal::servingReplica(*Existing, Head, Slots[Existing->m_pool]));
+  }
+  for (const auto &[Id, Known] : Targets) {
+    const TargetAnnouncement &Shown = *Known.m_announcement;
+    bool Takes = Known.m_fresh && Shown.m_kind == TargetKind::Service &&
+                 Shown.m_state == TargetState::Ready;
+    if (Takes && !internal::isDrained(State, Shown))
+      View.m_services[Shown.m_service].push_back(
+          {Id, Shown.m_incarnation, Shown.m_address});
+  }
+}
+
+nlohmann::json FleetSide::nodesJson(Instant Now, const ControlState &State,
+                                    bool LeaseValid) const {
+  internal::Json Nodes = internal::Json::array();
+  Nodes.push_back({{"node", m_options.m_node.str()},
+                   {"state", "alive"},
+                   {"revision", State.revision()},
+                   {"lease_valid", LeaseValid}});
+  for (const NodeUpdate &Member : m_membership.members()) {
+    auto Said = m_peers.find(Member.m_node);
+    bool Known = Said != m_peers.end() &&
+                 Now - Said->second.m_heard < internal::PeerFactsLife;
+    Nodes.push_back({{"node", Member.m_node.str()},
+                     {"state", nameOf(Member.m_state)},
+                     {"revision", Known ? Said->second.m_revision : 0},
+                     {"lease_valid", Known && Said->second.m_leaseValid}});
+  }
+  return Nodes;
+}
+
+void FleetSide::fillStatus(Instant Now, const ControlState &State,
+                           bool LeaseValid, nlohmann::json &Status) const {
+  TargetMap Known = targetMap(Now);
+  internal::Json Targets = internal::Json::array();
+  for (const auto &[Id, Entry] : Known)
+    Targets.push_back(internal::targetJson(Entry, State));
+  auto Lookup = [&](const TargetId &Target) {
+    return internal::viewOf(Known, Now, Target);
+  };
+  internal::Json Replicas = internal::Json::array();
+  for (const auto &[Id, Existing] : State.assignments()) {
+    internal::Json Members = internal::Json::array();
+    for (const AssignedMember &Member : Existing->m_members)
+      Members.push_back(Member.m_target.str());
+    Replicas.push_back({{"replica", Id.str()},
+                        {"pool", Existing->m_pool},
+                        {"generation", Existing->m_generation},
+                        {"phase", internal::nameOf(Existing->m_phase)},
+                        {"serving", replicaServes(*Existing, Lookup, Now)},
+                        {"members", std::move(Members)}});
+  }
+  Status["nodes"] = nodesJson(Now, State, LeaseValid);
+  Status["targets"] = std::move(Targets);
+  Status["replicas"] = std::move(Replicas);
+}
+
+} // namespace turmericdyke
--- a/packages/storage/turmericdyke/src/Storage/DataDirectory.cpp
+++ b/packages/storage/turmericdyke/src/Storage/DataDirectory.cpp
@@ -69,7 +69,7 @@
 using internal::damage;
 
 DataDirectory::DataDirectory(internal::Directory Files,
-                             internal::Descriptor Lock,
+                             internal::FileDescriptor Lock,
                              DataDirectoryOptions Options)
     : m_files(std::move(Files)), m_lock(std::move(Lock)),
       m_log(Options.m_segmentBytes) {}
--- a/packages/storage/turmericdyke/src/Storage/DataDirectory.h
+++ b/packages/storage/turmericdyke/src/Storage/DataDirectory.h
@@ -53,7 +53,7 @@
   Result<void, StorageError> writeSnapshot(const Snapshot &State);
 
 private:
-  DataDirectory(internal::Directory Files, internal::Descriptor Lock,
+  DataDirectory(internal::Directory Files, internal::FileDescriptor Lock,
                 DataDirectoryOptions Options);
 
   Result<void, StorageError> readAll();
@@ -70,7 +70,7 @@
   Result<void, StorageError> latch(Result<void, StorageError> Outcome);
 
   internal::Directory m_files;
-  internal::Descriptor m_lock;
+  internal::FileDescriptor m_lock;
   internal::SegmentedLog m_log;
   std::string m_identity;
   PersistentState m_state;
--- a/packages/storage/turmericdyke/src/Storage/Directory.cpp
+++ b/packages/storage/turmericdyke/src/Storage/Directory.cpp
@@ -22,15 +22,15 @@
 
 } // namespace
 
-Descriptor::Descriptor(Descriptor &&Other) noexcept
+FileDescriptor::FileDescriptor(FileDescriptor &&Other) noexcept
     : m_number(std::exchange(Other.m_number, -1)) {}
 
-Descriptor &Descriptor::operator=(Descriptor &&Other) noexcept {
+FileDescriptor &FileDescriptor::operator=(FileDescriptor &&Other) noexcept {
   std::swap(m_number, Other.m_number);
   return *this;
 }
 
-Descriptor::~Descriptor() {
+FileDescriptor::~FileDescriptor() {
   if (isOpen())
     ::close(m_number);
 }
@@ -52,7 +52,8 @@
           File, Offset};
 }
 
-Directory::Directory(std::string Path, Descriptor Self, FileInterface &Files)
+Directory::Directory(std::string Path, FileDescriptor Self,
+                     FileInterface &Files)
     : m_path(std::move(Path)), m_self(std::move(Self)), m_files(&Files) {}
 
 Result<Directory, StorageError> Directory::open(std::string_view Path,
@@ -61,12 +62,12 @@
   bool Created = ::mkdir(Name.c_str(), DirectoryMode) == 0;
   if (!Created && errno != EEXIST)
     return errorFromErrno("mkdir", Name);
-  Descriptor Self(::open(Name.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  FileDescriptor Self(::open(Name.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
   if (!Self.isOpen())
     return errorFromErrno("open", Name);
   if (Created) {
-    Descriptor Parent(::open(fmt::format("{}/..", Name).c_str(),
-                             O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    FileDescriptor Parent(::open(fmt::format("{}/..", Name).c_str(),
+                                 O_RDONLY | O_DIRECTORY | O_CLOEXEC));
     if (!Parent.isOpen() || Files.fsync(Parent.number()) != 0)
       return errorFromErrno("fsync of the parent", Name);
   }
@@ -94,7 +95,7 @@
 Result<std::optional<std::string>, StorageError>
 Directory::read(std::string_view Name) const {
   std::string Path = pathOf(Name);
-  Descriptor File(::open(Path.c_str(), O_RDONLY | O_CLOEXEC));
+  FileDescriptor File(::open(Path.c_str(), O_RDONLY | O_CLOEXEC));
   if (!File.isOpen() && errno == ENOENT)
     return std::optional<std::string>();
   if (!File.isOpen())
@@ -121,7 +122,7 @@
                                               std::string_view Bytes) const {
   std::string Temporary = fmt::format("{}.tmp", Name);
   std::string Path = pathOf(Temporary);
-  Descriptor File(
+  FileDescriptor File(
       ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FileMode));
   if (!File.isOpen())
     return errorFromErrno("open", Path);
@@ -140,11 +141,11 @@
   return syncSelf();
 }
 
-Result<Descriptor, StorageError>
+Result<FileDescriptor, StorageError>
 Directory::openForAppend(std::string_view Name) const {
   std::string Path = pathOf(Name);
-  Descriptor File(::open(Path.c_str(),
-                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode));
+  FileDescriptor File(::open(
+      Path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode));
   if (!File.isOpen())
     return errorFromErrno("open", Path);
   BOOST_OUTCOME_TRYV(syncSelf());
@@ -161,7 +162,7 @@
   return success();
 }
 
-Result<void, StorageError> Directory::write(const Descriptor &File,
+Result<void, StorageError> Directory::write(const FileDescriptor &File,
                                             std::string_view Name,
                                             std::string_view Bytes) const {
   while (!Bytes.empty()) {
@@ -175,7 +176,7 @@
   return success();
 }
 
-Result<void, StorageError> Directory::syncData(const Descriptor &File,
+Result<void, StorageError> Directory::syncData(const FileDescriptor &File,
                                                std::string_view Name) const {
   if (m_files->fdatasync(File.number()) != 0)
     return errorFromErrno("fdatasync", pathOf(Name));
@@ -188,9 +189,11 @@
   return success();
 }
 
-Result<Descriptor, StorageError> Directory::lock(std::string_view Name) const {
+Result<FileDescriptor, StorageError>
+Directory::lock(std::string_view Name) const {
   std::string Path = pathOf(Name);
-  Descriptor File(::open(Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+  FileDescriptor File(
+      ::open(Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
   if (!File.isOpen())
     return errorFromErrno("open", Path);
   if (::flock(File.number(), LOCK_EX | LOCK_NB) == 0)
--- a/packages/storage/turmericdyke/src/Storage/Directory.h
+++ b/packages/storage/turmericdyke/src/Storage/Directory.h
@@ -13,13 +13,13 @@
 namespace turmericdyke::internal {
 
 /// A file descriptor, closed with the object.
-class Descriptor {
+class FileDescriptor {
 public:
-  Descriptor() = default;
-  explicit Descriptor(int Number) : m_number(Number) {}
-  Descriptor(Descriptor &&Other) noexcept;
-  Descriptor &operator=(Descriptor &&Other) noexcept;
-  ~Descriptor();
+  FileDescriptor() = default;
+  explicit FileDescriptor(int Number) : m_number(Number) {}
+  FileDescriptor(FileDescriptor &&Other) noexcept;
+  FileDescriptor &operator=(FileDescriptor &&Other) noexcept;
+  ~FileDescriptor();
 
   int number() const { return m_number; }
   bool isOpen() const { return m_number >= 0; }
@@ -51,25 +51,26 @@
                                      std::string_view Bytes) const;
   Result<void, StorageError> remove(std::string_view Name) const;
   /// Opens a file for appending, creating it if it does not exist.
-  Result<Descriptor, StorageError> openForAppend(std::string_view Name) const;
+  Result<FileDescriptor, StorageError>
+  openForAppend(std::string_view Name) const;
   /// Cuts a file at `Length`.
   Result<void, StorageError> truncate(std::string_view Name,
                                       std::uint64_t Length) const;
   /// Writes all bytes, without syncing them.
-  Result<void, StorageError> write(const Descriptor &File,
+  Result<void, StorageError> write(const FileDescriptor &File,
                                    std::string_view Name,
                                    std::string_view Bytes) const;
-  Result<void, StorageError> syncData(const Descriptor &File,
+  Result<void, StorageError> syncData(const FileDescriptor &File,
                                       std::string_view Name) const;
   /// Takes the lock that keeps a second process out.
-  Result<Descriptor, StorageError> lock(std::string_view Name) const;
+  Result<FileDescriptor, StorageError> lock(std::string_view Name) const;
 
 private:
-  Directory(std::string Path, Descriptor Self, FileInterface &Files);
+  Directory(std::string Path, FileDescriptor Self, FileInterface &Files);
   Result<void, StorageError> syncSelf() const;
 
   std::string m_path;
-  Descriptor m_self;
+  FileDescriptor m_self;
   FileInterface *m_files;
 };
 
--- a/packages/storage/turmericdyke/src/Storage/FileInterface.cpp
+++ b/packages/storage/turmericdyke/src/Storage/FileInterface.cpp
@@ -5,17 +5,19 @@
 
 namespace turmericdyke {
 
-ssize_t FileInterface::write(int Descriptor, const char *Bytes,
+ssize_t FileInterface::write(int FileDescriptor, const char *Bytes,
                              std::size_t Count) {
-  return ::write(Descriptor, Bytes, Count);
+  return ::write(FileDescriptor, Bytes, Count);
 }
 
-int FileInterface::fdatasync(int Descriptor) { return ::fdatasync(Descriptor); }
+int FileInterface::fdatasync(int FileDescriptor) {
+  return ::fdatasync(FileDescriptor);
+}
 
-int FileInterface::fsync(int Descriptor) { return ::fsync(Descriptor); }
+int FileInterface::fsync(int FileDescriptor) { return ::fsync(FileDescriptor); }
 
-int FileInterface::ftruncate(int Descriptor, off_t Length) {
-  return ::ftruncate(Descriptor, Length);
+int FileInterface::ftruncate(int FileDescriptor, off_t Length) {
+  return ::ftruncate(FileDescriptor, Length);
 }
 
 int FileInterface::rename(const std::string &From, const std::string &To) {
--- a/packages/storage/turmericdyke/src/Storage/FileInterface.h
+++ b/packages/storage/turmericdyke/src/Storage/FileInterface.h
@@ -13,10 +13,11 @@
 public:
   virtual ~FileInterface() = default;
 
-  virtual ssize_t write(int Descriptor, const char *Bytes, std::size_t Count);
-  virtual int fdatasync(int Descriptor);
-  virtual int fsync(int Descriptor);
-  virtual int ftruncate(int Descriptor, off_t Length);
+  virtual ssize_t write(int FileDescriptor, const char *Bytes,
+                        std::size_t Count);
+  virtual int fdatasync(int FileDescriptor);
+  virtual int fsync(int FileDescriptor);
+  virtual int ftruncate(int FileDescriptor, off_t Length);
   virtual int rename(const std::string &From, const std::string &To);
   virtual int unlink(const std::string &Path);
 };
--- a/packages/storage/turmericdyke/src/Storage/SegmentedLog.cpp
+++ b/packages/storage/turmericdyke/src/Storage/SegmentedLog.cpp
@@ -168,7 +168,7 @@
 Result<void, StorageError> SegmentedLog::removeAll(const Directory &Files) {
   // From the newest on: what a crash leaves is a prefix of the old log, which
   // the next start recognises as replaced by the snapshot.
-  m_active = Descriptor();
+  m_active = FileDescriptor();
   while (!m_segments.empty()) {
     BOOST_OUTCOME_TRYV(Files.remove(segmentName(m_segments.back().m_number)));
     m_segments.pop_back();
--- a/packages/storage/turmericdyke/src/Storage/SegmentedLog.h
+++ b/packages/storage/turmericdyke/src/Storage/SegmentedLog.h
@@ -65,7 +65,7 @@
   std::uint64_t m_segmentBytes;
   std::vector<Segment> m_segments;
   /// The last segment, open for appending; closed before the first append.
-  Descriptor m_active;
+  FileDescriptor m_active;
   std::uint64_t m_activeBytes = 0;
 };
 
