--- a/packages/admission/turmericdyke/src/Admission/AdmissionController.cpp
+++ b/packages/admission/turmericdyke/src/Admission/AdmissionController.cpp
@@ -223,7 +223,10 @@
 
 absl::Duration AdmissionController::predictWait(const CustomerId &Id,
                                                 RequestClass Class) const {
-  const CustomerState &C = m_customers.at(Id);
+  auto Found = m_customers.find(Id);
+  if (Found == m_customers.end())
+    return absl::InfiniteDuration();
+  const CustomerState &C = Found->second;
   CustomerShare Share = C.share();
   bool IsLong = Class == RequestClass::Long;
   // Where long requests hold every slot, one of them yields to short work.
