Admit, queue and route requests with the admission and routing packages

Cause: the thin path ran every request at once on the replica with the least outstanding work of this node.

Change: AdmissionGate lets a thread wait while its request is queued; ReplicaRouter chooses by the weighted strategy from own work, reports, speed and cached prefixes; the class of a request is estimated from its size and corrected while it runs.

Conclusion: work beyond the slots waits at the node instead of the engine.

--- a/packages/control/test/ControlStateTest.cpp
+++ b/packages/control/test/ControlStateTest.cpp
@@ -76,7 +76,7 @@
   F.apply(SetDrained{"d1", {}, HostId("h1"), true});
   CHECK(F.m_state.drainedHosts().empty());
   CHECK(F.applyAs<CommandRefused>(ApplyDeclaration{"c1", 2, "ann", "other"})
-            .m_reason == RefusalReason::ChangeIdReused);
+            .m_reason == CommandRefusalReason::ChangeIdReused);
 }
 
 TEST_CASE("a declaration that fails the check changes nothing") {
@@ -95,14 +95,14 @@
     return F.applyAs<CommandRefused>(Value).m_reason;
   };
   CHECK(Reason(SetAssignment{assignment("r2", 1, {"b", "c"}), 0}) ==
-        RefusalReason::HostOccupied);
+        CommandRefusalReason::HostOccupied);
   // A repair leaves the replaced host departing until it is released.
   F.applyAs<CommandApplied>(SetAssignment{assignment("r1", 2, {"a", "c"}), 1});
   CHECK(F.m_state.departingHosts().contains(HostId("b")));
   CHECK(Reason(SetAssignment{assignment("r2", 1, {"b"}), 0}) ==
-        RefusalReason::HostOccupied);
+        CommandRefusalReason::HostOccupied);
   CHECK(Reason(ReleaseHost{HostId("b"), ReplicaId("r1"), 2}) ==
-        RefusalReason::GenerationMismatch);
+        CommandRefusalReason::GenerationMismatch);
   F.applyAs<CommandApplied>(ReleaseHost{HostId("b"), ReplicaId("r1"), 1});
   F.applyAs<CommandApplied>(SetAssignment{assignment("r2", 1, {"b"}), 0});
   CHECK(F.m_state.assignmentOf(HostId("b"))->m_replica == ReplicaId("r2"));
@@ -114,7 +114,7 @@
   Assignment Value = assignment("r1", 1, {"a"});
   F.apply(SetAssignment{Value, 0});
   CHECK(F.applyAs<CommandRefused>(RemoveAssignment{ReplicaId("r1"), 1})
-            .m_reason == RefusalReason::WrongPhase);
+            .m_reason == CommandRefusalReason::WrongPhase);
   Value.m_phase = AssignmentPhase::Ending;
   F.applyAs<CommandApplied>(SetAssignment{Value, 1});
   F.applyAs<CommandRefused>(SetAssignment{assignment("r1", 2, {"a"}), 1});
--- a/packages/control/turmericdyke/src/Control/AssignmentTable.cpp
+++ b/packages/control/turmericdyke/src/Control/AssignmentTable.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 CommandRefused generationMismatch(std::uint64_t Stored) {
-  return {RefusalReason::GenerationMismatch,
+  return {CommandRefusalReason::GenerationMismatch,
           fmt::format("the stored generation is {}", Stored)};
 }
 
@@ -37,7 +37,7 @@
       return CommandInvalid{"/assignment/members", "names a host twice"};
     if (!m_skipHostCheck && isOccupied(Member, Value.m_replica))
       return CommandRefused{
-          RefusalReason::HostOccupied,
+          CommandRefusalReason::HostOccupied,
           fmt::format("host {} is not free", Member.m_host.str())};
   }
   return CommandApplied{};
@@ -52,10 +52,10 @@
   if (Stored != Command.m_expectedGeneration)
     return generationMismatch(Stored);
   if (Old && Old->m_phase == AssignmentPhase::Ending)
-    return CommandRefused{RefusalReason::WrongPhase,
+    return CommandRefused{CommandRefusalReason::WrongPhase,
                           "the assignment is ending"};
   if (!Old && New.m_phase != AssignmentPhase::Active)
-    return CommandRefused{RefusalReason::WrongPhase,
+    return CommandRefused{CommandRefusalReason::WrongPhase,
                           "a new assignment must be active"};
   bool SameMembers = Old && Old->m_members == New.m_members;
   if (New.m_generation < Stored || (!SameMembers && New.m_generation == Stored))
@@ -87,7 +87,7 @@
   if (Old->m_generation != Command.m_expectedGeneration)
     return generationMismatch(Old->m_generation);
   if (Old->m_phase != AssignmentPhase::Ending)
-    return CommandRefused{RefusalReason::WrongPhase,
+    return CommandRefused{CommandRefusalReason::WrongPhase,
                           "only an ending assignment can be removed"};
   erase(*Old);
   m_assignments.erase(Command.m_replica);
--- a/packages/control/turmericdyke/src/Control/ChangeLog.cpp
+++ b/packages/control/turmericdyke/src/Control/ChangeLog.cpp
@@ -78,7 +78,7 @@
     return std::nullopt;
   if (Found->second.m_contentDigest != sha256(Content))
     return CommandRefused{
-        RefusalReason::ChangeIdReused,
+        CommandRefusalReason::ChangeIdReused,
         "the change identifier was used for different content"};
   return std::visit(MarkRepeated{}, Found->second.m_result);
 }
--- a/packages/control/turmericdyke/src/Control/CommandResult.h
+++ b/packages/control/turmericdyke/src/Control/CommandResult.h
@@ -55,7 +55,7 @@
                          const CommandInvalid &) = default;
 };
 
-enum class RefusalReason {
+enum class CommandRefusalReason {
   /// The assignment is not at the expected generation.
   GenerationMismatch,
   /// A host or target belongs to another assignment or is departing.
@@ -69,7 +69,7 @@
 };
 
 struct CommandRefused {
-  RefusalReason m_reason = RefusalReason::GenerationMismatch;
+  CommandRefusalReason m_reason = CommandRefusalReason::GenerationMismatch;
   std::string m_message;
 
   friend bool operator==(const CommandRefused &,
--- a/packages/control/turmericdyke/src/Control/OnceOnlyLedger.cpp
+++ b/packages/control/turmericdyke/src/Control/OnceOnlyLedger.cpp
@@ -77,7 +77,7 @@
   KeyDigest Digest = digestOf(Command.m_customer, Command.m_key);
   auto Found = m_records.find(Digest);
   if (Found == m_records.end())
-    return CommandRefused{RefusalReason::NotOwner, "there is no record"};
+    return CommandRefused{CommandRefusalReason::NotOwner, "there is no record"};
   OnceOnlyRecord &Record = Found->second;
   if (isFinal(Record.m_outcome))
     return OnceOnlyFinish{Record};
@@ -89,7 +89,7 @@
   bool MayReport = Command.m_fromStatusQuery &&
                    Record.m_outcome == OnceOnlyOutcome::MayHaveRun;
   if (!IsOwner && !MayReport)
-    return CommandRefused{RefusalReason::NotOwner,
+    return CommandRefused{CommandRefusalReason::NotOwner,
                           "another node or attempt owns the record"};
   m_open.erase({Record.m_node, Digest});
   Record.m_outcome = Command.m_outcome;
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
@@ -7,6 +7,7 @@
 
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Edge/ConnectionThreads.h"
+#include "turmericdyke/src/Edge/PromptText.h"
 #include "turmericdyke/src/Edge/ServiceRoute.h"
 
 namespace turmericdyke {
@@ -57,6 +58,23 @@
   return Reply;
 }
 
+/// The error that a caller sees when admission refuses.
+ErrorReply errorOf(const AdmissionDecision &Decision) {
+  switch (Decision.m_reason) {
+  case RefusalReason::QueueFull:
+    return {429, "queue_full", "the queue of the customer is full",
+            Outcome::NotRun, Decision.m_retryAfter};
+  case RefusalReason::WouldMissDeadline:
+  case RefusalReason::Expired:
+    return {429, "deadline_unreachable",
+            "the first token would come after its deadline", Outcome::NotRun,
+            Decision.m_retryAfter};
+  default:
+    return {503, "not_configured", "the customer is not served at this node",
+            Outcome::NotRun, RetryWithoutReplica};
+  }
+}
+
 std::optional<ErrorReply> checkCompletionBody(const Json &Body) {
   ErrorReply Reply;
   Reply.m_status = 400;
@@ -291,12 +309,21 @@
   Call.m_received = Now;
   Call.m_firstTokenBy = Now + Owner.m_firstTokenDeadline;
   Call.m_deadline = Now + Owner.m_deadline;
+  std::string Prompt = promptText(Body);
+  Call.m_size = requestSize(Body, Prompt.size());
+  Call.m_longTokens = Owner.m_longTokens;
+  Call.m_class = estimateClass(Call.m_size, Owner.m_longTokens);
+  Call.m_prefixHashes = prefixHashes(Prompt);
+  ++m_inFlight;
+  if (!admit(Call, Response)) {
+    --m_inFlight;
+    return;
+  }
   auto Running = std::shared_ptr<Exchange>(
       new Exchange(m_services, std::move(Call)), [this](Exchange *Done) {
         delete Done;
         --m_inFlight;
       });
-  ++m_inFlight;
   // The handler cannot watch the caller's socket; a streaming caller is watched
   // once its stream has begun.
   ExchangeStep First = Running->next([] { return true; });
@@ -305,6 +332,24 @@
   answerStream(Running, std::move(First), Response);
 }
 
+bool CallerServer::admit(const CompletionCall &Call,
+                         httplib::Response &Response) {
+  AdmissionRequest Request;
+  Request.m_id = Call.m_request;
+  Request.m_customer = Call.m_customer;
+  Request.m_class = Call.m_class;
+  Request.m_bytes = static_cast<std::int64_t>(Call.m_body.size());
+  AdmissionDecision Decision = m_services.m_gate.acquire(Call.m_pool, Request);
+  double Waited = absl::ToDoubleSeconds(monotonicNow() - Call.m_received);
+  m_services.m_metrics.observe("turmericdyke_queue_wait_seconds", Waited,
+                               {{"customer", Call.m_customer.str()}});
+  if (Decision.m_outcome == AdmissionOutcome::Admitted)
+    return true;
+  refuse(internal::errorOf(Decision), Call.m_request, Call.m_customer,
+         Response);
+  return false;
+}
+
 void CallerServer::answerWhole(Exchange &Running, const ExchangeStep &Last,
                                httplib::Response &Response) {
   noteEnd(Running, *Last.m_end);
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.h
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.h
@@ -54,6 +54,7 @@
   void addRoutes();
   void onCompletion(const httplib::Request &Request,
                     httplib::Response &Response);
+  bool admit(const CompletionCall &Call, httplib::Response &Response);
   void answerStream(const std::shared_ptr<Exchange> &Running,
                     ExchangeStep First, httplib::Response &Response);
   void answerWhole(Exchange &Running, const ExchangeStep &Last,
--- a/packages/edge/turmericdyke/src/Edge/ClusterView.h
+++ b/packages/edge/turmericdyke/src/Edge/ClusterView.h
@@ -22,6 +22,8 @@
   TargetId m_head;
   std::uint64_t m_headIncarnation = 0;
   std::int64_t m_slots = 0;
+  /// Largest share of the slots that long requests may hold.
+  double m_longShare = 0.5;
   TargetLoad m_load;
   /// When the load was reported, by this process's clock.
   Instant m_loadTime;
--- a/packages/edge/turmericdyke/src/Edge/EdgeServices.h
+++ b/packages/edge/turmericdyke/src/Edge/EdgeServices.h
@@ -8,6 +8,7 @@
 #include "absl/random/random.h"
 #include "absl/synchronization/mutex.h"
 #include "turmericdyke/src/Base/Metrics.h"
+#include "turmericdyke/src/Edge/AdmissionGate.h"
 #include "turmericdyke/src/Edge/ClusterView.h"
 #include "turmericdyke/src/Edge/ReplicaRouter.h"
 #include "turmericdyke/src/Requests/RetryBudget.h"
@@ -19,6 +20,7 @@
   MetricsRegistry m_metrics;
   ViewHolder m_views;
   ReplicaRouter m_router;
+  AdmissionGate m_gate;
   /// This node's name and the number drawn at its start; they make request
   /// identifiers unique.
   NodeId m_node;
--- a/packages/edge/turmericdyke/src/Edge/Exchange.cpp
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.cpp
@@ -32,20 +32,26 @@
 Exchange::Exchange(EdgeServices &Services, CompletionCall Call)
     : m_services(Services), m_call(std::move(Call)) {
   m_services.onRequest(m_call.m_pool);
+  m_route.m_class = m_call.m_class;
+  m_route.m_prefixHashes = m_call.m_prefixHashes;
 }
 
 Exchange::~Exchange() {
   if (m_run)
     finishAttempt(*m_run->abandon().m_result);
+  m_services.m_gate.release(m_call.m_pool, m_call.m_request);
 }
 
 bool Exchange::startAttempt() {
   std::shared_ptr<const ClusterView> View = m_services.m_views.get();
-  m_replica = m_services.m_router.start(*View, m_call.m_pool, m_failed);
+  m_attempt = AttemptId(m_services.nextId());
+  m_replica =
+      m_services.m_router.start(*View, m_call.m_pool, m_attempt, m_route);
   if (!m_replica)
     return false;
   ++m_attempts;
-  m_attempt = AttemptId(m_services.nextId());
+  m_firstToken.reset();
+  m_tokens = 0;
   Instant Now = monotonicNow();
   AttemptLimits Limits;
   Limits.m_deadline = m_call.m_deadline;
@@ -84,6 +90,7 @@
   Instant Now = monotonicNow();
   if (!m_firstToken) {
     m_firstToken = Now;
+    m_services.m_gate.firstToken(m_call.m_pool, m_call.m_request);
     m_services.m_metrics.observe("turmericdyke_first_token_seconds",
                                  absl::ToDoubleSeconds(Now - m_call.m_received),
                                  {{"customer", m_call.m_customer.str()}});
@@ -93,6 +100,25 @@
                                  {{"customer", m_call.m_customer.str()}});
   }
   m_lastToken = Now;
+  ++m_tokens;
+  correctClass();
+}
+
+void Exchange::correctClass() {
+  RequestClass Corrected = turmericdyke::correctClass(
+      m_route.m_class, m_call.m_size, m_tokens, m_call.m_longTokens);
+  if (Corrected == m_route.m_class)
+    return;
+  m_route.m_class = Corrected;
+  m_services.m_gate.reclassify(m_call.m_pool, m_call.m_request, Corrected);
+  m_services.m_router.reclassify(m_call.m_pool, m_attempt, Corrected);
+}
+
+std::optional<double> Exchange::secondsPerToken() const {
+  if (!m_firstToken || m_tokens < 2)
+    return std::nullopt;
+  return absl::ToDoubleSeconds(m_lastToken - *m_firstToken) /
+         static_cast<double>(m_tokens - 1);
 }
 
 void Exchange::finishAttempt(const AttemptResult &Result) {
@@ -100,7 +126,8 @@
     m_body = m_run->machine().body();
   m_run.reset();
   m_lastResult = Result;
-  m_services.m_router.finish(m_replica->m_replica);
+  m_services.m_router.finish(m_call.m_pool, m_attempt, m_replica->m_replica,
+                             secondsPerToken());
   m_services.m_metrics.increment("turmericdyke_attempts_total",
                                  {{"end", nameOf(Result.m_end)}});
   LogLevel Level = Result.m_end == AttemptEnd::Complete ? LogLevel::Debug
@@ -128,7 +155,7 @@
       });
   if (!Pause)
     return false;
-  m_failed.insert(m_replica->m_replica);
+  m_route.m_excluded.push_back(m_replica->m_replica);
   m_services.m_metrics.increment("turmericdyke_retries_total",
                                  {{"pool", m_call.m_pool}});
   absl::SleepFor(*Pause);
--- a/packages/edge/turmericdyke/src/Edge/Exchange.h
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.h
@@ -4,12 +4,14 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
+#include "turmericdyke/src/Admission/ClassEstimate.h"
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Edge/ClusterView.h"
 #include "turmericdyke/src/Requests/RetryPolicy.h"
+#include "turmericdyke/src/Routing/Candidate.h"
 
 namespace turmericdyke {
 
@@ -25,6 +27,10 @@
   std::string m_path;
   std::string m_body;
   bool m_stream = false;
+  RequestClass m_class = RequestClass::Short;
+  RequestSize m_size;
+  std::int64_t m_longTokens = 0;
+  std::vector<std::uint64_t> m_prefixHashes;
   Instant m_received;
   Instant m_firstTokenBy;
   Instant m_deadline;
@@ -36,8 +42,9 @@
   std::optional<AttemptResult> m_end;
 };
 
-/// Runs the attempts of one completion request, with retries, and hands on its
-/// answer. Used by the thread of the caller's connection only.
+/// Runs the attempts of one admitted completion request, with retries, and
+/// hands on its answer. Frees the admission slot when it is destroyed. Used by
+/// the thread of the caller's connection only.
 class Exchange {
 public:
   Exchange(EdgeServices &Services, CompletionCall Call);
@@ -56,12 +63,14 @@
   bool startAttempt();
   void finishAttempt(const AttemptResult &Result);
   void noteProgress();
+  void correctClass();
+  std::optional<double> secondsPerToken() const;
   bool retry(const AttemptResult &Result);
 
   EdgeServices &m_services;
   CompletionCall m_call;
   std::int64_t m_attempts = 0;
-  std::set<ReplicaId> m_failed;
+  RouteRequest m_route;
   std::optional<ServingReplica> m_replica;
   AttemptId m_attempt;
   std::unique_ptr<AttemptRun> m_run;
@@ -70,6 +79,7 @@
   AttemptResult m_lastResult{AttemptEnd::ConnectFailed, 0, false, false, 0};
   std::optional<Instant> m_firstToken;
   Instant m_lastToken;
+  std::int64_t m_tokens = 0;
 };
 
 } // namespace turmericdyke
--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -373,9 +373,22 @@
     View->m_declaration = State.declaration();
   View->m_leaseUntil = m_core->leaseUntil();
   m_fleet->fillView(Now, State, *View);
+  m_services.m_gate.configure(Now, *View);
+  setSlots(Now, *View);
   m_services.m_views.set(std::move(View));
 }
 
+void ControlLoop::setSlots(Instant Now, const ClusterView &View) {
+  std::map<std::string, std::int64_t> Slots;
+  for (const auto &[Id, Settings] : View.m_declaration->m_customers)
+    Slots[poolName(Settings.m_resolved)] = 0;
+  for (const auto &[Pool, Serving] : View.m_pools)
+    for (const ServingReplica &Replica : Serving)
+      Slots[Pool] += Replica.m_slots;
+  for (const auto &[Pool, Count] : Slots)
+    m_services.m_gate.setSlots(Now, Pool, Count);
+}
+
 void ControlLoop::logEvent(const RaftEvent &Value) {
   LogLine(LogLevel::Info, internal::nameOf(Value.m_kind))
       .field("node", m_settings.m_node)
--- a/packages/node/turmericdyke/src/Node/ControlLoop.h
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.h
@@ -82,6 +82,8 @@
   void writeSnapshot(const Snapshot &Value);
   void stepFleet(Instant Now);
   void publish(Instant Now);
+  /// Lets this node run as many requests as the serving replicas have slots.
+  void setSlots(Instant Now, const ClusterView &View);
   void logEvent(const RaftEvent &Value);
   std::string statusJson(Instant Now);
   ControlCoreOptions coreOptions() const;
--- a/packages/node/turmericdyke/src/Node/FleetSide.cpp
+++ b/packages/node/turmericdyke/src/Node/FleetSide.cpp
@@ -35,13 +35,13 @@
   return {Found->second.m_announcement.get(), Now - Found->second.m_age};
 }
 
-/// Slots of each pool's replicas.
-std::map<std::string, std::int64_t> slotsOf(const ControlState &State) {
-  std::map<std::string, std::int64_t> Slots;
+/// The declared model of each pool.
+std::map<std::string, ResolvedModel> modelsOf(const ControlState &State) {
+  std::map<std::string, ResolvedModel> Models;
   if (State.declaration())
     for (const PoolView &Pool : poolsOf(*State.declaration()))
-      Slots[Pool.m_name] = Pool.m_model.m_slotsPerReplica;
-  return Slots;
+      Models[Pool.m_name] = Pool.m_model;
+  return Models;
 }
 
 NodeMembershipOptions membershipOptions(const FleetOptions &Options) {
@@ -67,14 +67,15 @@
 }
 
 ServingReplica servingReplica(const Assignment &Value, const TargetView &Head,
-                              std::int64_t Slots) {
+                              const ResolvedModel &Model) {
   ServingReplica Serving;
   Serving.m_replica = Value.m_replica;
   Serving.m_generation = Value.m_generation;
   Serving.m_headAddress = Head.m_announcement->m_address;
   Serving.m_head = Head.m_announcement->m_target;
   Serving.m_headIncarnation = Head.m_announcement->m_incarnation;
-  Serving.m_slots = Slots;
+  Serving.m_slots = Model.m_slotsPerReplica;
+  Serving.m_longShare = Model.m_longShare;
   Serving.m_load = Head.m_announcement->m_load;
   Serving.m_loadTime = Head.m_lastHeard;
   Serving.m_cacheEvents = Head.m_announcement->m_cacheEvents;
@@ -241,13 +242,13 @@
   auto Lookup = [&](const TargetId &Target) {
     return internal::viewOf(Targets, Now, Target);
   };
-  std::map<std::string, std::int64_t> Slots = internal::slotsOf(State);
+  std::map<std::string, ResolvedModel> Models = internal::modelsOf(State);
   for (const auto &[Id, Existing] : State.assignments()) {
     if (!replicaServes(*Existing, Lookup, Now))
       continue;
     TargetView Head = Lookup(Existing->m_members.front().m_target);
     View.m_pools[Existing->m_pool].push_back(
-        internal::servingReplica(*Existing, Head, Slots[Existing->m_pool]));
+        internal::servingReplica(*Existing, Head, Models[Existing->m_pool]));
   }
   for (const auto &[Id, Known] : Targets) {
     const TargetAnnouncement &Shown = *Known.m_announcement;
