--- a/packages/consensus/turmericdyke/src/Consensus/Raft.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/Raft.cpp
@@ -34,7 +34,8 @@
       Message.m_to != m_self.m_node || Message.m_from == m_self.m_node;
   if (m_failed || Misdirected || Kind >= std::size(Handlers))
     return;
-  (this->*Handlers[Kind])(Now, Message, Random);
+  Handler Chosen = Handlers[Kind];
+  (this->*Chosen)(Now, Message, Random);
 }
 
 void Raft::tick(Instant Now, absl::BitGenRef Random) {
