--- a/packages/consensus/test/RaftTest.cpp
+++ b/packages/consensus/test/RaftTest.cpp
@@ -358,6 +358,23 @@
   CHECK(Node.m_raft->role() == RaftRole::Candidate);
 }
 
+TEST_CASE("a voter set takes effect when appended and is undone when a new "
+          "leader replaces its entry") {
+  Single Node;
+  RaftMessage Beat = Node.heartbeat(5);
+  VoterSet Without{{voter("a"), voter("b")}};
+  Beat.m_entries = {{2, 5, EntryKind::Voters, "", Without},
+                    {3, 5, EntryKind::Command, "x", {}}};
+  Node.step(Beat);
+  CHECK(Node.m_raft->voters() == Without);
+  Beat.m_term = 6;
+  Beat.m_entries = {{2, 6, EntryKind::NoOp, "", {}}};
+  RaftActions Actions = Node.step(Beat);
+  CHECK(Actions.m_entries == Beat.m_entries);
+  CHECK(Node.m_raft->voters() == Abc);
+  CHECK(Node.m_raft->lastIndex() == 2);
+}
+
 TEST_CASE("messages to another node, of unknown kind or with gaps change "
           "nothing") {
   Single Node;
