--- a/packages/formation/bench/VirtualFleet.cpp
+++ b/packages/formation/bench/VirtualFleet.cpp
@@ -137,6 +137,10 @@
     Truth.m_state = TargetState::Idle;
     return;
   }
+  if (Received.m_kind == OrderKind::Drain) {
+    Truth.m_state = TargetState::Draining;
+    return;
+  }
   bool SameWeights =
       Truth.m_spec == Received.m_spec && Truth.m_state == TargetState::Ready;
   Truth.m_spec = Received.m_spec;
--- a/packages/formation/bench/VirtualFleet.h
+++ b/packages/formation/bench/VirtualFleet.h
@@ -80,6 +80,10 @@
   void ignoreOrders(std::size_t Target) {
     m_targets[Target].m_ignoresOrders = true;
   }
+  /// Sets the load that a target reports.
+  void setRunning(std::size_t Target, std::int64_t Requests) {
+    m_targets[Target].m_truth.m_load.m_running = Requests;
+  }
   void setBuild(std::size_t Target, std::string Build);
   /// A new leader takes over with an empty directory of targets.
   void changeLeader();
--- a/packages/formation/test/PlannerTest.cpp
+++ b/packages/formation/test/PlannerTest.cpp
@@ -203,6 +203,22 @@
   CHECK_FALSE(Fleet.lastPlan().m_replicas[0].m_reason.empty());
 }
 
+TEST_CASE("requests finish before a drained member is replaced") {
+  VirtualFleet Fleet = fleet(1, 1, 5);
+  Fleet.setPools({virtualPool("m", 4, 1, 1)});
+  settle(Fleet);
+  std::size_t Head = member(Fleet, 0);
+  Fleet.setRunning(Head, 3);
+  Fleet.setDrained(member(Fleet, 2), true);
+  Fleet.run(absl::Seconds(30));
+  CHECK_FALSE(Fleet.holdsCapacity());
+  CHECK(first(Fleet).m_generation == 1);
+  Fleet.setRunning(Head, 0);
+  Fleet.run(absl::Seconds(2));
+  CHECK(first(Fleet).m_generation == 2);
+  CHECK(untilServing(Fleet) < absl::Minutes(1));
+}
+
 TEST_CASE("a patched replica takes no work until all members show one build; "
           "accept then keeps the weights, reload forms it again") {
   for (EnginePatchPolicy Policy :
--- a/packages/formation/turmericdyke/src/Formation/PlanBuilder.cpp
+++ b/packages/formation/turmericdyke/src/Formation/PlanBuilder.cpp
@@ -669,6 +669,29 @@
   return true;
 }
 
+/// Whether the replica still has to finish its requests before a drained member
+/// is replaced. The survivors then change their generation, which running
+/// requests would not outlive, so new work is stopped first.
+bool PlanBuilder::finishesWork(Replica &Value) {
+  const Assignment &Assigned = *Value.m_assignment;
+  const TargetView &Head = *view(Assigned.m_members[0].m_target);
+  bool Drains =
+      isFresh(Head) && Head.m_announcement->m_state == TargetState::Draining;
+  Value.m_finishing = Value.m_serves || (Drains && Value.m_work > 0);
+  if (!Value.m_finishing)
+    return false;
+  Value.m_reason = "a member is drained; running requests finish first";
+  if (Drains)
+    return true;
+  Order Wanted;
+  Wanted.m_target = Assigned.m_members[0].m_target;
+  Wanted.m_incarnation = Assigned.m_members[0].m_incarnation;
+  Wanted.m_kind = OrderKind::Drain;
+  Wanted.m_membership = {Assigned.m_replica, Assigned.m_generation, 0};
+  sendOrder(std::move(Wanted), Head, false);
+  return true;
+}
+
 /// A replica that serves with a drained member is replaced as a whole first.
 /// Where no domain has room for that, the drained member alone is replaced,
 /// which interrupts the replica for one weight load.
@@ -690,10 +713,16 @@
       Value.m_reason = "a member is drained; the pool lacks capacity already";
       continue;
     }
-    replaceMembers(Value, true);
-    if (Value.m_repaired)
+    const Domain &Home = m_domains[Value.m_assignment->m_fabricDomain];
+    bool HasSpares =
+        static_cast<std::int64_t>(Home.m_free.size()) >= Value.m_drained;
+    if (HasSpares && finishesWork(Value)) {
       Value.m_pool->m_serving -= Value.m_serves;
-    else
+      continue;
+    }
+    if (HasSpares)
+      replaceMembers(Value, true);
+    if (!Value.m_repaired)
       Value.m_reason = "a member is drained; no host is free to replace it";
   }
 }
@@ -723,11 +752,20 @@
   Wanted.m_incarnation = Member.m_incarnation;
   Wanted.m_kind = OrderKind::Release;
   Wanted.m_membership = View.m_announcement->m_membership;
+  sendOrder(std::move(Wanted), View, false);
+}
+
+/// Whether the order was sent.
+bool PlanBuilder::sendOrder(Order Wanted, const TargetView &View,
+                            bool NeedsLoad) {
   if (!m_context.m_orders.maySend(Wanted, View, m_input.m_leaderSince, m_now))
-    return;
-  if (std::optional<Order> Sent =
-          m_context.m_orders.send(std::move(Wanted), m_now, false))
-    m_plan.m_orders.push_back(std::move(*Sent));
+    return false;
+  std::optional<Order> Sent =
+      m_context.m_orders.send(std::move(Wanted), m_now, NeedsLoad);
+  if (!Sent)
+    return false;
+  m_plan.m_orders.push_back(std::move(*Sent));
+  return true;
 }
 
 void PlanBuilder::orderJoin(const Replica &Value, std::size_t Rank) {
@@ -753,12 +791,8 @@
     ++m_plan.m_loadsWaiting;
     return;
   }
-  std::optional<Order> Sent =
-      m_context.m_orders.send(std::move(Wanted), m_now, NeedsLoad);
-  if (!Sent)
-    return;
-  m_plan.m_orders.push_back(std::move(*Sent));
-  m_plan.m_loadsRunning += NeedsLoad && !Counted;
+  if (sendOrder(std::move(Wanted), View, NeedsLoad))
+    m_plan.m_loadsRunning += NeedsLoad && !Counted;
 }
 
 void PlanBuilder::issueOrders() {
@@ -769,7 +803,8 @@
   for (const Replica &Value : m_replicas) {
     const Assignment &Assigned = *Value.m_assignment;
     if (Assigned.m_phase == AssignmentPhase::Active) {
-      if (!Value.m_serves && !Value.m_ending && !Value.m_repaired)
+      if (!Value.m_serves && !Value.m_ending && !Value.m_repaired &&
+          !Value.m_finishing)
         Joining.push_back(&Value);
       continue;
     }
--- a/packages/formation/turmericdyke/src/Formation/PlanBuilder.h
+++ b/packages/formation/turmericdyke/src/Formation/PlanBuilder.h
@@ -79,6 +79,8 @@
     bool m_ending = false;
     /// Replaced by a new generation in this plan.
     bool m_repaired = false;
+    /// Finishes its requests before a drained member is replaced.
+    bool m_finishing = false;
     std::string m_reason;
     /// Build that replacements should show, if not the accepted one.
     std::string m_wantedBuild;
@@ -115,7 +117,9 @@
   void findHostsFor(Replica &Value);
   bool endVictim(Replica &For);
   void formHeld();
+  bool finishesWork(Replica &Value);
   void swapDrained();
+  bool sendOrder(Order Wanted, const TargetView &View, bool NeedsLoad);
   void formSurplus();
   bool formReplica(Pool &Value, std::int64_t Spares);
   bool reclaimFor(Pool &Value);
