--- a/packages/membership/bench/SwimSimulation.h
+++ b/packages/membership/bench/SwimSimulation.h
@@ -58,6 +58,24 @@
     Of.m_running = true;
     Of.m_pausedUntil = absl::InfinitePast();
   }
+  /// Makes all nodes known to each other, as after a long run.
+  void introduceAll() {
+    SwimMessage Table;
+    Table.m_kind = SwimKind::SyncReply;
+    for (const Node &Each : m_nodes)
+      Table.m_updates.push_back({Each.m_id, Each.m_address,
+                                 Each.m_membership->incarnation(),
+                                 NodeState::Alive});
+    for (std::size_t Index = 0; Index < size(); ++Index) {
+      const Node &From = m_nodes[(Index + 1) % size()];
+      Table.m_from = From.m_id;
+      Table.m_address = From.m_address;
+      Table.m_incarnation = From.m_membership->incarnation();
+      Node &Of = m_nodes[Index];
+      Of.m_membership->handle(clockOf(Of), Table, m_random);
+      perform(Index);
+    }
+  }
   void crash(std::size_t Index) { m_nodes[Index].m_running = false; }
   void pause(std::size_t Index, absl::Duration For) {
     m_nodes[Index].m_pausedUntil = m_now + For;
--- a/packages/membership/turmericdyke/src/Membership/NodeMembership.cpp
+++ b/packages/membership/turmericdyke/src/Membership/NodeMembership.cpp
@@ -5,6 +5,7 @@
 #include <cassert>
 #include <cstring>
 #include <set>
+#include <tuple>
 
 #include <fmt/format.h>
 
@@ -111,7 +112,12 @@
     if (Update.m_state > NodeState::Suspect || Update.m_address.empty() ||
         m_members.size() >= m_options.m_maxMembers)
       return;
-    return set(Now, m_members[Update.m_node], Update);
+    set(Now, m_members[Update.m_node], Update);
+    // Whoever admitted the node spreads that; a whole table would keep the
+    // updates of all who join from spreading for minutes.
+    if (FromTable)
+      m_gossip.erase(Update.m_node);
+    return;
   }
   Member &Known = Found->second;
   // A table may come from the other half of a partition. The node in question
@@ -157,20 +163,22 @@
   if (Receiver != m_members.end() &&
       Receiver->second.m_update.m_state != NodeState::Alive)
     Updates.push_back(Receiver->second.m_update);
-  std::vector<std::pair<std::size_t, NodeId>> Due;
-  for (const auto &[Node, Left] : m_gossip)
-    if (Node != To)
-      Due.emplace_back(Left, Node);
+  using Entry = std::pair<const NodeId, std::size_t>;
+  std::vector<Entry *> Due;
+  for (Entry &Each : m_gossip)
+    if (Each.first != To)
+      Due.push_back(&Each);
   std::size_t Count = std::min(Due.size(), m_options.m_maxPiggyback);
-  std::partial_sort(Due.begin(),
-                    Due.begin() + static_cast<std::ptrdiff_t>(Count), Due.end(),
-                    std::greater<>());
+  std::partial_sort(
+      Due.begin(), Due.begin() + static_cast<std::ptrdiff_t>(Count), Due.end(),
+      [](const Entry *A, const Entry *B) {
+        return std::tie(B->second, A->first) < std::tie(A->second, B->first);
+      });
   for (std::size_t Index = 0; Index < Count; ++Index) {
-    const NodeId &Node = Due[Index].second;
-    Updates.push_back(m_members[Node].m_update);
-    if (--m_gossip[Node] == 0)
-      m_gossip.erase(Node);
+    Updates.push_back(m_members[Due[Index]->first].m_update);
+    --Due[Index]->second;
   }
+  std::erase_if(m_gossip, [](const Entry &Each) { return Each.second == 0; });
 }
 
 void NodeMembership::send(const NodeId &To, std::string_view Address,
--- /dev/null
+++ b/packages/peer/test/PeerMessagesTest.cpp
@@ -0,0 +1,216 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "turmericdyke/Peer"
+#include "turmericdyke/src/Peer/Cbor.h"
+#include "turmericdyke/src/Peer/ClientHandshake.h"
+#include "turmericdyke/src/Peer/SendQueue.h"
+#include "turmericdyke/src/Peer/ServerHandshake.h"
+
+using namespace turmericdyke;
+
+namespace {
+
+TargetDigest digest() {
+  TargetDigest Digest;
+  Digest.m_from = NodeId("n");
+  Digest.m_incarnation = 3;
+  Digest.m_sequence = 9;
+  Digest.m_full = true;
+  Digest.m_echoIncarnation = 4;
+  Digest.m_echoUs = 5;
+  Digest.m_ages = std::string("\x00\xff\x80", 3);
+  Digest.m_entries.resize(1);
+  Digest.m_entries[0].m_slot = 2;
+  Digest.m_entries[0].m_ageUs = 77;
+  TargetAnnouncement &Target = Digest.m_entries[0].m_announcement;
+  Target.m_target = TargetId("t");
+  Target.m_host = HostId("h");
+  Target.m_fabricDomain = FabricDomainId("f");
+  Target.m_failureDomain = FailureDomainId("d");
+  Target.m_address = "127.0.0.1:1";
+  return Digest;
+}
+
+SwimMessage swim() {
+  SwimMessage Message;
+  Message.m_kind = SwimKind::SyncReply;
+  Message.m_from = NodeId("n");
+  Message.m_address = "127.0.0.1:1";
+  Message.m_incarnation = ~std::uint64_t(0);
+  Message.m_leaving = true;
+  Message.m_subject = NodeId("s");
+  Message.m_subjectAddress = "127.0.0.1:2";
+  Message.m_tableHash = 8;
+  Message.m_wantsReply = true;
+  Message.m_updates = {{NodeId("u"), "127.0.0.1:3", 4, NodeState::Left}};
+  return Message;
+}
+
+/// One valid encoding of each message.
+std::vector<std::string> encodings() {
+  return {
+      encode(LeaseRequest{NodeId("n"), 1, -2}),
+      encode(LeaseGrant{1, 2, 3, 4}),
+      encode(Propose{NodeId("n"), 7, std::string("\x00\xff", 2)}),
+      encode(ProposeResult{7, ProposeStatus::Unknown, 8, 9, "r", NodeId("l")}),
+      encode(swim()),
+      encode(digest()),
+      encode(QuotaRequest{NodeId("n"), 1, {{CustomerId("c"), 5}}}),
+      encode(QuotaGrant{NodeId("n"), 1, {{CustomerId("c"), 5}}, 2000})};
+}
+
+/// Reads `Bytes` as each message; how many succeeded.
+int decodeAll(std::string_view Bytes) {
+  return decodeLeaseRequest(Bytes).has_value() +
+         decodeLeaseGrant(Bytes).has_value() +
+         decodePropose(Bytes).has_value() +
+         decodeProposeResult(Bytes).has_value() +
+         decodeSwimMessage(Bytes).has_value() +
+         decodeTargetDigest(Bytes).has_value() +
+         decodeQuotaRequest(Bytes).has_value() +
+         decodeQuotaGrant(Bytes).has_value();
+}
+
+PeerIdentity identity(const char *Node) {
+  PeerIdentity Identity;
+  Identity.m_node = NodeId(Node);
+  Identity.m_address = "127.0.0.1:1";
+  return Identity;
+}
+
+std::string nonce(char Fill) { return std::string(32, Fill); }
+
+} // namespace
+
+TEST_CASE("each message survives being encoded and decoded") {
+  std::vector<std::string> All = encodings();
+  CHECK(encode(decodeLeaseRequest(All[0]).value()) == All[0]);
+  CHECK(encode(decodeLeaseGrant(All[1]).value()) == All[1]);
+  CHECK(encode(decodePropose(All[2]).value()) == All[2]);
+  CHECK(encode(decodeProposeResult(All[3]).value()) == All[3]);
+  CHECK(decodeSwimMessage(All[4]).value() == swim());
+  CHECK(encode(decodeTargetDigest(All[5]).value()) == All[5]);
+  CHECK(encode(decodeQuotaRequest(All[6]).value()) == All[6]);
+  CHECK(encode(decodeQuotaGrant(All[7]).value()) == All[7]);
+  CHECK(decodeQuotaGrant(All[7]).value().m_grants.at(CustomerId("c")) == 5);
+}
+
+TEST_CASE("unknown fields of a newer version are ignored") {
+  for (const std::string &Bytes : encodings()) {
+    nlohmann::json Newer = internal::fromCbor(Bytes).value();
+    Newer["introduced_later"] = {{"a", {1, 2, 3}}};
+    CHECK(decodeAll(internal::toCbor(Newer)) >= 1);
+  }
+}
+
+TEST_CASE("mutated and random bytes give an error or a message, never a "
+          "crash") {
+  std::vector<std::string> Valid = encodings();
+  CHECK(rc::check([&](const std::string &Random, std::uint64_t Seed) {
+    (void)decodeAll(Random);
+    std::string Mutated = Valid[Seed % Valid.size()];
+    for (int Change = 0; Change < 4; ++Change) {
+      Seed = Seed * 6364136223846793005u + 1442695040888963407u;
+      Mutated[(Seed >> 33) % Mutated.size()] = static_cast<char>(Seed >> 20);
+      (void)decodeAll(Mutated);
+    }
+    (void)decodeAll(Mutated.substr(0, (Seed >> 40) % Mutated.size()));
+  }));
+}
+
+TEST_CASE("deep nesting, huge declared lengths and trailing bytes are refused "
+          "before they take stack or memory") {
+  CHECK(decodeAll(std::string(1'000'000, '\x81')) == 0);
+  CHECK(decodeAll(std::string("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 9)) == 0);
+  CHECK(decodeAll(std::string("\x5b\x7f\xff\xff\xff\xff\xff\xff\xff", 9)) == 0);
+  std::string Nulls(500'000, '\xf6');
+  Nulls.insert(0, "\x9a\x00\x07\xa1\x20", 5);
+  CHECK_FALSE(internal::fromCbor(Nulls).has_value());
+  CHECK(decodeAll(encodings()[0] + "x") == 0);
+}
+
+TEST_CASE("overlong lists and byte strings are refused") {
+  Propose Large;
+  Large.m_node = NodeId("n");
+  Large.m_command = std::string((4 << 20) + 1, 'x');
+  CHECK(decodePropose(encode(Large)).error().m_code ==
+        PeerErrorCode::Malformed);
+  TargetDigest Digest = digest();
+  Digest.m_ages = std::string(MaxDigestEntries + 1, 'x');
+  CHECK_FALSE(decodeTargetDigest(encode(Digest)).has_value());
+  QuotaRequest Many{NodeId("n"), 1, {}};
+  for (int Index = 0; Index < 4097; ++Index)
+    Many.m_demands[CustomerId(std::to_string(Index))] = 1;
+  CHECK_FALSE(decodeQuotaRequest(encode(Many)).has_value());
+  SwimMessage Message = swim();
+  Message.m_updates.resize(1025, Message.m_updates[0]);
+  CHECK_FALSE(decodeSwimMessage(encode(Message)).has_value());
+}
+
+TEST_CASE(
+    "a handshake succeeds between two nodes that share the secret, once") {
+  ClientHandshake Client(identity("a"), "s", nonce('1'));
+  ServerHandshake Server(identity("b"), "s", nonce('2'));
+  Result<std::string, PeerError> Reply = Server.accept(Client.hello());
+  REQUIRE(Reply.has_value());
+  CHECK_FALSE(Server.succeeded());
+  auto Proof = Client.acceptReply(Reply.value(), NodeId("b"));
+  REQUIRE(Proof.has_value());
+  CHECK(Server.accept(Proof.value()).has_value());
+  CHECK(Server.succeeded());
+  CHECK(Server.remote().m_node == NodeId("a"));
+  CHECK_FALSE(Server.accept(Proof.value()).has_value());
+  CHECK_FALSE(Server.succeeded());
+}
+
+TEST_CASE("a replayed hello and proof, a second try and a wrong secret fail "
+          "against a server with a new nonce") {
+  ClientHandshake Client(identity("a"), "s", nonce('1'));
+  ServerHandshake First(identity("b"), "s", nonce('2'));
+  auto Proof = Client.acceptReply(First.accept(Client.hello()).value(), {});
+  ServerHandshake Second(identity("b"), "s", nonce('3'));
+  REQUIRE(Second.accept(Client.hello()).has_value());
+  CHECK_FALSE(Second.accept(Proof.value()).has_value());
+  CHECK_FALSE(Second.accept(Proof.value()).has_value());
+  CHECK_FALSE(Second.succeeded());
+  ServerHandshake Other(identity("b"), "other", nonce('2'));
+  CHECK(Client.acceptReply(Other.accept(Client.hello()).value(), {})
+            .error()
+            .m_code == PeerErrorCode::NotAuthentic);
+}
+
+TEST_CASE("a node's own messages, reflected to it, do not authenticate the "
+          "sender") {
+  ClientHandshake Client(identity("a"), "s", nonce('1'));
+  ServerHandshake Own(identity("a"), "s", nonce('2'));
+  CHECK_FALSE(Own.accept(Client.hello()).has_value());
+  // The code that a server proves itself with is no proof of a client.
+  ServerHandshake Server(identity("b"), "s", nonce('2'));
+  std::string Reply = Server.accept(Client.hello()).value();
+  CHECK_FALSE(Server.accept(Reply).has_value());
+  CHECK_FALSE(Server.succeeded());
+  CHECK_FALSE(Client.acceptReply(Client.hello(), {}).has_value());
+}
+
+TEST_CASE("a full queue drops the oldest of a replaceable kind and refuses "
+          "others, by number and by bytes") {
+  SendQueue Queue({3, 100});
+  CHECK(Queue.push(PeerMessageKind::Swim, "1") ==
+        SendQueue::PushOutcome::Queued);
+  CHECK(Queue.push(PeerMessageKind::Propose, "2") ==
+        SendQueue::PushOutcome::Queued);
+  CHECK(Queue.push(PeerMessageKind::Swim, std::string(90, '3')) ==
+        SendQueue::PushOutcome::Queued);
+  CHECK(Queue.push(PeerMessageKind::Propose, "4") ==
+        SendQueue::PushOutcome::Refused);
+  CHECK(Queue.push(PeerMessageKind::Raft, "5") ==
+        SendQueue::PushOutcome::Refused);
+  CHECK(Queue.push(PeerMessageKind::Swim, std::string(50, '6')) ==
+        SendQueue::PushOutcome::DroppedOlder);
+  CHECK(Queue.push(PeerMessageKind::Swim, std::string(101, '7')) ==
+        SendQueue::PushOutcome::Refused);
+  CHECK(Queue.pop()->m_bytes == "2");
+  CHECK(Queue.pop()->m_bytes == std::string(50, '6'));
+  CHECK(Queue.empty());
+}
