Count shares without waiting work in the predicted wait

The predicted wait gave each customer its part by weight among all active ones, also where the others had nothing waiting, and so refused requests that would have been served in time.

Change: the part of the queue counts where it is larger than the part by weight.

--- a/packages/admission/test/AdmissionControllerTest.cpp
+++ b/packages/admission/test/AdmissionControllerTest.cpp
@@ -141,6 +141,18 @@
   CHECK(Last.m_retryAfter >= absl::Seconds(10));
 }
 
+TEST_CASE("a request is not refused for shares that other customers do not "
+          "use") {
+  AdmissionController A =
+      controller(10, {customer("idle", 9, 10), customer("busy", 1, 10)});
+  A.offer(at(0), request(0, "idle"));
+  int Accepted = 0;
+  for (int Number = 1; Number < 300; ++Number)
+    Accepted += A.offer(at(0), request(Number, "busy")).m_outcome == Queued;
+  // 10 slots at an assumed second per request, within 10 s.
+  CHECK(Accepted == 100);
+}
+
 TEST_CASE("a caller's shorter deadline counts, a longer one does not") {
   AdmissionController A = controller(1, {customer("a", 1, 1)});
   A.offer(at(0), request(0, "a"));
--- a/packages/admission/turmericdyke/src/Admission/AdmissionController.cpp
+++ b/packages/admission/turmericdyke/src/Admission/AdmissionController.cpp
@@ -235,15 +235,23 @@
   Usable = std::min(m_slots, Usable);
   // Customers of a later rank do not hold this one up.
   std::int64_t Weights = C.m_weight;
+  std::int64_t Queued = C.queued() + 1;
   for (const auto &[Other, State] : m_customers) {
     bool IsActive = State.m_running > 0 || State.queued() > 0;
-    if (Other != Id && IsActive && State.m_rank <= C.m_rank)
-      Weights += State.m_weight;
+    if (Other == Id || !IsActive || State.m_rank > C.m_rank)
+      continue;
+    Weights += State.m_weight;
+    Queued += State.queued();
   }
-  double Fair = static_cast<double>(Usable) * static_cast<double>(C.m_weight) /
-                static_cast<double>(Weights);
+  // A share that its customer has no work for goes to those that wait, so the
+  // part of the queue counts where it is larger than the part by weight.
+  double PartByWeight =
+      static_cast<double>(C.m_weight) / static_cast<double>(Weights);
+  double PartOfQueue =
+      static_cast<double>(C.queued() + 1) / static_cast<double>(Queued);
   double Slots =
-      std::max(Fair, static_cast<double>(std::min(Share.m_held, Usable)));
+      static_cast<double>(Usable) * std::max(PartByWeight, PartOfQueue);
+  Slots = std::max(Slots, static_cast<double>(std::min(Share.m_held, Usable)));
   Slots = std::min(Slots, static_cast<double>(Share.m_limit));
   if (Slots <= 0)
     return absl::InfiniteDuration();
