--- a/packages/admission/test/AdmissionControllerTest.cpp
+++ b/packages/admission/test/AdmissionControllerTest.cpp
@@ -141,6 +141,35 @@
   CHECK(Last.m_retryAfter >= absl::Seconds(10));
 }
 
+TEST_CASE("a request is not refused for shares that other customers do not "
+          "use") {
+  AdmissionController A =
+      controller(10, {customer("idle", 9, 10), customer("busy", 1, 10)});
+  A.offer(at(0), request(0, "idle"));
+  int Accepted = 0;
+  for (int Number = 1; Number < 300; ++Number)
+    Accepted += A.offer(at(0), request(Number, "busy")).m_outcome == Queued;
+  // 10 slots at an assumed second per request, within 10 s.
+  CHECK(Accepted == 100);
+}
+
+TEST_CASE("a queued request leaves time for a first token that is slower than "
+          "the mean") {
+  AdmissionController A = controller(1, {customer("a", 1, 1)});
+  std::int64_t Ms = 0;
+  for (int Number = 0; Number < 1000; ++Number) {
+    A.offer(at(Ms), request(Number, "a"));
+    Ms += Number % 2 == 0 ? 500 : 1500;
+    A.firstToken(at(Ms), id(Number));
+    A.finish(at(Ms), id(Number));
+  }
+  A.offer(at(Ms), request(1000, "a"));
+  A.offer(at(Ms), request(1001, "a"));
+  absl::Duration Left = A.nextExpiry() - at(Ms);
+  // 10 s of deadline less a mean of 1 s and a deviation of 0.5 s.
+  CHECK(absl::ToDoubleSeconds(Left) == doctest::Approx(8.5).epsilon(0.01));
+}
+
 TEST_CASE("a caller's shorter deadline counts, a longer one does not") {
   AdmissionController A = controller(1, {customer("a", 1, 1)});
   A.offer(at(0), request(0, "a"));
