Divide slots and customers' limits between nodes by quota leases

Cause: each node admitted up to all slots of a pool and each customer's whole limit, so nine nodes could admit nine times that.

Change: QuotaSide asks the leader for this node's part every 200 ms; the allocator on the leader never grants more than the limit; a node without a lease falls back to an equal floor. The quota messages move to the fleet package, where the transport's codec and the admission package share them.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -9,7 +9,7 @@
 set(TURMERICDYKE_ALLOWED_membership base fleet)
 set(TURMERICDYKE_ALLOWED_formation base fleet declaration)
 set(TURMERICDYKE_ALLOWED_routing base fleet)
-set(TURMERICDYKE_ALLOWED_admission base declaration)
+set(TURMERICDYKE_ALLOWED_admission base fleet declaration)
 set(TURMERICDYKE_ALLOWED_requests base)
 set(TURMERICDYKE_ALLOWED_peer base fleet consensus)
 set(TURMERICDYKE_ALLOWED_edge base fleet declaration consensus storage control membership formation
--- a/packages/control/turmericdyke/src/Control/ControlState.cpp
+++ b/packages/control/turmericdyke/src/Control/ControlState.cpp
@@ -7,9 +7,11 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr int SnapshotFormat = 1;
 
+} // namespace
 } // namespace internal
 
 ControlState::ControlState(DeclarationParser Parser) : m_changes(Parser) {
--- a/packages/ctl/turmericdyke/src/Ctl/CommandRunner.cpp
+++ b/packages/ctl/turmericdyke/src/Ctl/CommandRunner.cpp
@@ -24,6 +24,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 using Json = nlohmann::json;
 
@@ -119,6 +120,7 @@
             {"allowed", Error.m_allowed}}}};
 }
 
+} // namespace
 } // namespace internal
 
 using internal::Json;
--- a/packages/ctl/turmericdyke/src/Ctl/OperatorClient.cpp
+++ b/packages/ctl/turmericdyke/src/Ctl/OperatorClient.cpp
@@ -13,6 +13,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr absl::Duration ConnectTimeout = absl::Seconds(2);
 constexpr absl::Duration MaxRetryDelay = absl::Seconds(2);
@@ -73,6 +74,7 @@
   return std::chrono::microseconds(absl::ToInt64Microseconds(Value));
 }
 
+} // namespace
 } // namespace internal
 
 OperatorClient::OperatorClient(const CtlOptions &Options)
--- a/packages/declaration/turmericdyke/src/Declaration/DeclarationDiff.cpp
+++ b/packages/declaration/turmericdyke/src/Declaration/DeclarationDiff.cpp
@@ -13,6 +13,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 using Json = nlohmann::json;
 using Changes = std::vector<DeclarationChange>;
@@ -82,6 +83,7 @@
                findField(New, Field), !Named && isNamedMap(Field), Found);
 }
 
+} // namespace
 } // namespace internal
 
 std::vector<DeclarationChange> diffDeclarations(const Declaration &Old,
--- a/packages/formation/turmericdyke/src/Formation/FormationStrategy.cpp
+++ b/packages/formation/turmericdyke/src/Formation/FormationStrategy.cpp
@@ -6,6 +6,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 /// Smaller is better. Hosts of one build come before the fit, since members
 /// with different builds cannot serve together; the smallest remainder keeps
@@ -30,6 +31,7 @@
 
 std::size_t chooseFirst(absl::Span<const DomainCandidate>) { return 0; }
 
+} // namespace
 } // namespace internal
 
 FormationStrategy defaultStrategy() {
--- a/packages/formation/turmericdyke/src/Formation/PlannerInput.cpp
+++ b/packages/formation/turmericdyke/src/Formation/PlannerInput.cpp
@@ -6,12 +6,14 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 std::int64_t replicasFor(std::int64_t Requests, std::int64_t Slots) {
   std::int64_t Divisor = std::max<std::int64_t>(Slots, 1);
   return (Requests + Divisor - 1) / Divisor;
 }
 
+} // namespace
 } // namespace internal
 
 std::int64_t PoolView::replicasHeld() const {
--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -92,6 +92,8 @@
   for (const auto &[Peer, Address] : m_settings.m_peers)
     Fleet.m_seeds.push_back(Address);
   m_fleet.emplace(std::move(Fleet), monotonicNow());
+  m_quota.emplace(m_settings.m_node, m_services.m_incarnation,
+                  m_settings.m_peers.size() + 1);
   m_thread = std::thread([this] { run(); });
   return success();
 }
@@ -268,6 +270,14 @@
     return m_fleet->receive(Now, Received.m_from, *Digest);
   if (const auto *Swim = std::get_if<SwimMessage>(&Read.value()))
     return m_fleet->receive(Now, *Swim, m_random);
+  if (const auto *Request = std::get_if<QuotaRequest>(&Read.value())) {
+    std::vector<AddressedMessage> Replies;
+    if (Request->m_node == Received.m_from)
+      m_quota->receive(Now, *Request, Replies);
+    return sendAll(Replies);
+  }
+  if (const auto *Grant = std::get_if<QuotaGrant>(&Read.value()))
+    return m_quota->receive(Now, *Grant);
   m_core->onMessage(Now, Received.m_from, Read.value(), m_random);
   turn();
 }
@@ -374,19 +384,37 @@
   View->m_leaseUntil = m_core->leaseUntil();
   m_fleet->fillView(Now, State, *View);
   m_services.m_gate.configure(Now, *View);
-  setSlots(Now, *View);
+  stepQuota(Now, *View);
   m_services.m_views.set(std::move(View));
 }
 
-void ControlLoop::setSlots(Instant Now, const ClusterView &View) {
-  std::map<std::string, std::int64_t> Slots;
-  for (const auto &[Id, Settings] : View.m_declaration->m_customers)
-    Slots[poolName(Settings.m_resolved)] = 0;
+QuotaInput ControlLoop::quotaInput(Instant Now, const ClusterView &View) const {
+  QuotaInput Input;
+  Input.m_declaration = View.m_declaration.get();
+  Input.m_leader = m_core->raft().leader();
+  Input.m_leads = m_core->leads(Now);
+  for (const auto &[Id, Settings] : View.m_declaration->m_customers) {
+    std::string Pool = poolName(Settings.m_resolved);
+    Input.m_slots.try_emplace(Pool, 0);
+    AdmissionGate::Usage Used = m_services.m_gate.usage(Pool, Id);
+    Input.m_demand[Id] = Used.m_running + Used.m_queued;
+  }
   for (const auto &[Pool, Serving] : View.m_pools)
     for (const ServingReplica &Replica : Serving)
-      Slots[Pool] += Replica.m_slots;
-  for (const auto &[Pool, Count] : Slots)
-    m_services.m_gate.setSlots(Now, Pool, Count);
+      Input.m_slots[Pool] += Replica.m_slots;
+  return Input;
+}
+
+void ControlLoop::stepQuota(Instant Now, const ClusterView &View) {
+  QuotaInput Input = quotaInput(Now, View);
+  sendAll(m_quota->step(Now, Input));
+  QuotaShares Shares = m_quota->shares(Now, Input);
+  for (const auto &[Pool, Slots] : Shares.m_slots)
+    m_services.m_gate.setSlots(Now, Pool, Slots);
+  for (const auto &[Id, Share] : Shares.m_customers) {
+    const Customer &Settings = View.m_declaration->m_customers.at(Id);
+    m_services.m_gate.setShare(Now, poolName(Settings.m_resolved), Id, Share);
+  }
 }
 
 void ControlLoop::logEvent(const RaftEvent &Value) {
--- a/packages/node/turmericdyke/src/Node/ControlLoop.h
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.h
@@ -20,6 +20,7 @@
 #include "turmericdyke/src/Node/ControlCore.h"
 #include "turmericdyke/src/Node/FleetSide.h"
 #include "turmericdyke/src/Node/OrderSender.h"
+#include "turmericdyke/src/Node/QuotaSide.h"
 #include "turmericdyke/src/Node/Settings.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
 #include "turmericdyke/src/Storage/DataDirectory.h"
@@ -82,8 +83,9 @@
   void writeSnapshot(const Snapshot &Value);
   void stepFleet(Instant Now);
   void publish(Instant Now);
-  /// Lets this node run as many requests as the serving replicas have slots.
-  void setSlots(Instant Now, const ClusterView &View);
+  QuotaInput quotaInput(Instant Now, const ClusterView &View) const;
+  /// Lets this node run its part of the slots and of the customers' limits.
+  void stepQuota(Instant Now, const ClusterView &View);
   void logEvent(const RaftEvent &Value);
   std::string statusJson(Instant Now);
   ControlCoreOptions coreOptions() const;
@@ -102,6 +104,7 @@
   absl::BitGen m_random;
   std::optional<ControlCore> m_core;
   std::optional<FleetSide> m_fleet;
+  std::optional<QuotaSide> m_quota;
   std::set<std::uint64_t> m_fleetTickets;
   std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
   Instant m_nextFleetStep = absl::InfinitePast();
--- a/packages/node/turmericdyke/src/Node/CoreCodec.cpp
+++ b/packages/node/turmericdyke/src/Node/CoreCodec.cpp
@@ -53,6 +53,14 @@
   return {PeerMessageKind::TargetDigest, encode(Message)};
 }
 
+EncodedMessage encodeOne(const QuotaRequest &Message) {
+  return {PeerMessageKind::QuotaRequest, encode(Message)};
+}
+
+EncodedMessage encodeOne(const QuotaGrant &Message) {
+  return {PeerMessageKind::QuotaGrant, encode(Message)};
+}
+
 /// Turns a decoded message into the variant.
 template <class Message>
 Result<CoreMessage, PeerError> lift(Result<Message, PeerError> Read) {
@@ -127,6 +135,10 @@
     return internal::readBootstrap(Bytes);
   case PeerMessageKind::Swim:
     return internal::lift(decodeSwimMessage(Bytes));
+  case PeerMessageKind::QuotaRequest:
+    return internal::lift(decodeQuotaRequest(Bytes));
+  case PeerMessageKind::QuotaGrant:
+    return internal::lift(decodeQuotaGrant(Bytes));
   case PeerMessageKind::TargetDigest:
     return internal::lift(decodeTargetDigest(Bytes));
   default:
--- a/packages/node/turmericdyke/src/Node/CoreMessage.h
+++ b/packages/node/turmericdyke/src/Node/CoreMessage.h
@@ -26,7 +26,8 @@
 /// A message between the control sides of two nodes.
 using CoreMessage =
     std::variant<RaftMessage, ReadLeaseRequest, ReadLeaseGrant, Propose,
-                 ProposeResult, BootstrapMessage, SwimMessage, TargetDigest>;
+                 ProposeResult, BootstrapMessage, SwimMessage, TargetDigest,
+                 QuotaRequest, QuotaGrant>;
 
 struct AddressedMessage {
   NodeId m_to;
--- /dev/null
+++ b/packages/node/turmericdyke/src/Node/QuotaSide.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "turmericdyke/src/Admission/QuotaAllocator.h"
+#include "turmericdyke/src/Admission/QuotaHolder.h"
+#include "turmericdyke/src/Declaration/Declaration.h"
+#include "turmericdyke/src/Node/CoreMessage.h"
+
+namespace turmericdyke {
+
+/// The part of each limit that this node may use now.
+struct QuotaShares {
+  /// Slots a pool.
+  std::map<std::string, std::int64_t> m_slots;
+  std::map<CustomerId, CustomerShare> m_customers;
+};
+
+/// What a quota step looks at.
+struct QuotaInput {
+  const Declaration *m_declaration = nullptr;
+  /// Slots of the serving replicas, a pool.
+  std::map<std::string, std::int64_t> m_slots;
+  /// Running plus queued requests of each customer on this node.
+  std::map<CustomerId, std::int64_t> m_demand;
+  NodeId m_leader;
+  bool m_leads = false;
+};
+
+/// Divides slots and customers' limits between the nodes: each node asks the
+/// leader for its part every 200 ms, and falls back to a fixed floor when it
+/// gets no answer. A pure state machine.
+class QuotaSide {
+public:
+  /// `Nodes` is the number of nodes of the cluster; a node that is alone needs
+  /// no leases.
+  QuotaSide(NodeId Node, std::uint64_t Incarnation, std::size_t Nodes);
+
+  void receive(Instant Now, const QuotaRequest &Request,
+               std::vector<AddressedMessage> &Replies);
+  void receive(Instant Now, const QuotaGrant &Grant);
+  std::vector<AddressedMessage> step(Instant Now, const QuotaInput &Input);
+  QuotaShares shares(Instant Now, const QuotaInput &Input) const;
+
+private:
+  std::vector<QuotaDemand> demands(const QuotaInput &Input) const;
+  void lead(Instant Now, const QuotaInput &Input);
+
+  NodeId m_node;
+  std::size_t m_nodes;
+  QuotaOptions m_options;
+  QuotaHolder m_holder;
+  std::optional<QuotaAllocator> m_allocator;
+  Instant m_nextRequest = absl::InfinitePast();
+};
+
+} // namespace turmericdyke
--- a/packages/peer/test/PeerMessagesTest.cpp
+++ b/packages/peer/test/PeerMessagesTest.cpp
@@ -56,8 +56,9 @@
       encode(ProposeResult{7, ProposeStatus::Unknown, 8, 9, "r", NodeId("l")}),
       encode(swim()),
       encode(digest()),
-      encode(QuotaRequest{NodeId("n"), 1, {{CustomerId("c"), 5}}}),
-      encode(QuotaGrant{NodeId("n"), 1, {{CustomerId("c"), 5}}, 2000})};
+      encode(QuotaRequest{NodeId("n"), 3, 1, 0, {{LimitId("c"), 5, 2}}}),
+      encode(QuotaGrant{
+          NodeId("n"), 3, 1, absl::Seconds(2), {{LimitId("c"), 5}}})};
 }
 
 /// Reads `Bytes` as each message; how many succeeded.
@@ -93,7 +94,7 @@
   CHECK(encode(decodeTargetDigest(All[5]).value()) == All[5]);
   CHECK(encode(decodeQuotaRequest(All[6]).value()) == All[6]);
   CHECK(encode(decodeQuotaGrant(All[7]).value()) == All[7]);
-  CHECK(decodeQuotaGrant(All[7]).value().m_grants.at(CustomerId("c")) == 5);
+  CHECK(decodeQuotaGrant(All[7]).value().m_amounts[0].m_amount == 5);
 }
 
 TEST_CASE("unknown fields of a newer version are ignored") {
@@ -139,9 +140,9 @@
   TargetDigest Digest = digest();
   Digest.m_ages = std::string(MaxDigestEntries + 1, 'x');
   CHECK_FALSE(decodeTargetDigest(encode(Digest)).has_value());
-  QuotaRequest Many{NodeId("n"), 1, {}};
+  QuotaRequest Many{NodeId("n"), 3, 1, 0, {}};
   for (int Index = 0; Index < 4097; ++Index)
-    Many.m_demands[CustomerId(std::to_string(Index))] = 1;
+    Many.m_demands.push_back({LimitId(std::to_string(Index)), 1, 0});
   CHECK_FALSE(decodeQuotaRequest(encode(Many)).has_value());
   SwimMessage Message = swim();
   Message.m_updates.resize(1025, Message.m_updates[0]);
--- a/packages/peer/turmericdyke/src/Peer/PeerCounters.cpp
+++ b/packages/peer/turmericdyke/src/Peer/PeerCounters.cpp
@@ -7,6 +7,7 @@
 namespace turmericdyke {
 
 namespace internal {
+namespace {
 
 constexpr std::string_view CounterNames[] = {"sent",
                                              "delivered",
@@ -26,6 +27,7 @@
                                              "oversized"};
 static_assert(std::size(CounterNames) == PeerCounterCount);
 
+} // namespace
 } // namespace internal
 
 std::string_view nameOf(PeerCounter Counter) {
--- a/packages/peer/turmericdyke/src/Peer/PeerMessages.cpp
+++ b/packages/peer/turmericdyke/src/Peer/PeerMessages.cpp
@@ -21,7 +21,6 @@
 
 /// A declaration is the largest command; see section 5.2.
 constexpr std::size_t MaxCommandBytes = 4 << 20;
-constexpr std::size_t MaxCustomers = 4096;
 
 PeerError malformed(const FleetError &Error) {
   return {PeerErrorCode::Malformed,
@@ -44,27 +43,6 @@
     Reader.fail(Field, "is not a byte string of at most 4 MiB");
 }
 
-nlohmann::json amountsJson(const std::map<CustomerId, std::int64_t> &Amounts) {
-  nlohmann::json Value = nlohmann::json::object();
-  for (const auto &[Customer, Amount] : Amounts)
-    Value[Customer.str()] = Amount;
-  return Value;
-}
-
-void readAmounts(JsonReader &Reader, const char *Field,
-                 std::map<CustomerId, std::int64_t> &Amounts) {
-  const nlohmann::json *Object = Reader.object(Field);
-  if (Object == nullptr)
-    return;
-  if (Object->size() > MaxCustomers)
-    return Reader.fail(Field, "has more than 4096 customers");
-  for (const auto &[Customer, Amount] : Object->items()) {
-    if (Customer.size() > 256 || !Amount.is_number_integer() || Amount < 0)
-      return Reader.fail(Field, "is not customers with whole numbers");
-    Amounts[CustomerId(Customer)] = Amount.get<std::int64_t>();
-  }
-}
-
 template <class Message, class Parse>
 Result<Message, PeerError> decodeFleet(std::string_view Bytes, Parse Parser) {
   Result<nlohmann::json, PeerError> Value = fromCbor(Bytes);
@@ -129,17 +107,11 @@
 }
 
 std::string encode(const QuotaRequest &Message) {
-  return internal::toCbor(
-      {{"node", Message.m_node.str()},
-       {"seq", Message.m_sequence},
-       {"demands", internal::amountsJson(Message.m_demands)}});
+  return internal::toCbor(toJson(Message));
 }
 
 std::string encode(const QuotaGrant &Message) {
-  return internal::toCbor({{"node", Message.m_node.str()},
-                           {"seq", Message.m_sequence},
-                           {"grants", internal::amountsJson(Message.m_grants)},
-                           {"duration_ms", Message.m_durationMs}});
+  return internal::toCbor(toJson(Message));
 }
 
 Result<LeaseRequest, PeerError> decodeLeaseRequest(std::string_view Bytes) {
@@ -203,27 +175,11 @@
 }
 
 Result<QuotaRequest, PeerError> decodeQuotaRequest(std::string_view Bytes) {
-  Result<nlohmann::json, PeerError> Value = internal::fromCbor(Bytes);
-  if (!Value)
-    return failure(Value.error());
-  QuotaRequest Read;
-  internal::JsonReader Reader(Value.value());
-  Reader.id("node", Read.m_node, true).number("seq", Read.m_sequence);
-  internal::readAmounts(Reader, "demands", Read.m_demands);
-  return internal::finish(Reader, Read);
+  return internal::decodeFleet<QuotaRequest>(Bytes, parseQuotaRequest);
 }
 
 Result<QuotaGrant, PeerError> decodeQuotaGrant(std::string_view Bytes) {
-  Result<nlohmann::json, PeerError> Value = internal::fromCbor(Bytes);
-  if (!Value)
-    return failure(Value.error());
-  QuotaGrant Read;
-  internal::JsonReader Reader(Value.value());
-  Reader.id("node", Read.m_node, true)
-      .number("seq", Read.m_sequence)
-      .number("duration_ms", Read.m_durationMs);
-  internal::readAmounts(Reader, "grants", Read.m_grants);
-  return internal::finish(Reader, Read);
+  return internal::decodeFleet<QuotaGrant>(Bytes, parseQuotaGrant);
 }
 
 } // namespace turmericdyke
--- a/packages/peer/turmericdyke/src/Peer/PeerMessages.h
+++ b/packages/peer/turmericdyke/src/Peer/PeerMessages.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "turmericdyke/src/Base/Result.h"
 #include "turmericdyke/src/Base/StringId.h"
+#include "turmericdyke/src/Fleet/QuotaMessage.h"
 #include "turmericdyke/src/Fleet/SwimMessage.h"
 #include "turmericdyke/src/Fleet/TargetDigest.h"
 #include "turmericdyke/src/Peer/PeerError.h"
@@ -70,22 +70,6 @@
   NodeId m_leaderHint;
 };
 
-/// Concurrent requests that the customers want at the node.
-struct QuotaRequest {
-  NodeId m_node;
-  std::uint64_t m_sequence = 0;
-  std::map<CustomerId, std::int64_t> m_demands;
-};
-
-/// Concurrent requests that each customer may run at the node until
-/// `m_durationMs` after the node sent the request of the same sequence.
-struct QuotaGrant {
-  NodeId m_node;
-  std::uint64_t m_sequence = 0;
-  std::map<CustomerId, std::int64_t> m_grants;
-  std::int64_t m_durationMs = 0;
-};
-
 /// The encoded forms are CBOR objects. Unknown fields are ignored on reading;
 /// wrong types, nesting over 16 levels and sizes over the bounds are errors.
 std::string encode(const LeaseRequest &Message);
