--- a/packages/ctl/main/turmericctl.cpp
+++ b/packages/ctl/app/Main.cpp
@@ -12,7 +12,8 @@
 #include "absl/strings/str_split.h"
 #include "turmericdyke/Ctl"
 
-DEFINE_string(nodes, "", "operator ports, ip:port,ip:port, tried in order");
+DEFINE_string(nodes, "127.0.0.1:8082",
+              "operator ports, ip:port,ip:port, tried in order");
 DEFINE_string(operator_key_file, "", "file that holds the operator key");
 DEFINE_string(output, "text", "text or json");
 DEFINE_string(change_id, "",
--- a/packages/ctl/turmericdyke/src/Ctl/OperatorClient.cpp
+++ b/packages/ctl/turmericdyke/src/Ctl/OperatorClient.cpp
@@ -99,8 +99,11 @@
         internal::toMicroseconds(internal::ConnectTimeout));
     Client.set_read_timeout(internal::toMicroseconds(m_options.m_timeout));
     Client.set_write_timeout(internal::toMicroseconds(m_options.m_timeout));
-    httplib::Headers Headers = {
-        {"Authorization", fmt::format("Bearer {}", m_options.m_operatorKey)}};
+    // A node that listens on loopback only may need no key.
+    httplib::Headers Headers;
+    if (!m_options.m_operatorKey.empty())
+      Headers.emplace("Authorization",
+                      fmt::format("Bearer {}", m_options.m_operatorKey));
     httplib::Result Got =
         Body == nullptr ? Client.Get(Path, Headers)
                         : Client.Post(Path, Headers, *Body, "application/json");
