--- a/packages/admission/turmericdyke/src/Admission/YieldPolicy.h
+++ b/packages/admission/turmericdyke/src/Admission/YieldPolicy.h
@@ -22,9 +22,10 @@
 /// work.
 ///
 /// Starvation bound: a request yields at most `m_maxYields` times and is paused
-/// each time for at most `m_maxPause` plus the wait for the next slot that
-/// capacity held does not claim. With the defaults that is 15 s in all plus
-/// three such waits. After the last yield it is not stopped again.
+/// each time for at most `m_maxPause` plus the wait for the next slot that the
+/// long share and its customer's limit leave to it and that capacity held does
+/// not claim. With the defaults that is 15 s in all plus three such waits.
+/// After the last yield it is not stopped again.
 class YieldPolicy {
 public:
   explicit YieldPolicy(YieldOptions Options = {});
