Keep a crashing request from taking down replica after replica

Cause: a request whose target died was retried on the next replica like any other, so a request that crashes targets could take down a pool.

Change: when a connection breaks, the node waits up to 3 s for evidence that the target died (no listener, a new incarnation, or gone from the view), and then marks the request in the replicated log before anything runs again. A suspect request needs the one permission to run, which is replicated, and runs on a replica that all nodes keep free meanwhile.

An earlier attempt that may have run is now part of the outcome: before, a request whose first attempt broke and whose second found no replica was reported as not run.

--- a/packages/control/test/CommandTest.cpp
+++ b/packages/control/test/CommandTest.cpp
@@ -35,6 +35,8 @@
           NodeLost{NodeId("n1"), 9},
           MarkSuspects{"t1/4", {{Acme, Binary}, {CustomerId("b"), "d"}}},
           ClearSuspect{{Acme, Binary}},
+          BeginSuspectRun{{Acme, Binary}, NodeId("n"), 3},
+          EndSuspectRun{{Acme, Binary}, NodeId("n"), 3},
           Tick{Time},
           SetLimits{{absl::Hours(1), 7, 8}}};
 }
--- a/packages/control/test/ControlStateTest.cpp
+++ b/packages/control/test/ControlStateTest.cpp
@@ -273,3 +273,29 @@
     CHECK_FALSE(
         ControlState::restore(Bytes.substr(0, At), testParser).has_value());
 }
+
+TEST_CASE("one suspect request runs at a time, until it ends, is marked again, "
+          "or its node is lost") {
+  Fixture F;
+  RequestIdentity First{CustomerId("a"), "d1"};
+  RequestIdentity Second{CustomerId("a"), "d2"};
+  BeginSuspectRun RunFirst{First, NodeId("n1"), 5};
+  BeginSuspectRun RunSecond{Second, NodeId("n2"), 6};
+  auto Granted = [&](const BeginSuspectRun &Run) {
+    return std::holds_alternative<CommandApplied>(F.apply(Run));
+  };
+  CHECK(Granted(RunFirst));
+  CHECK(Granted(RunFirst));
+  CHECK_FALSE(Granted(RunSecond));
+  F.apply(EndSuspectRun{Second, NodeId("n2"), 6});
+  CHECK_FALSE(Granted(RunSecond));
+  F.apply(EndSuspectRun{First, NodeId("n1"), 5});
+  CHECK(Granted(RunSecond));
+  F.apply(MarkSuspects{"t1/1", {Second}});
+  CHECK(Granted(RunFirst));
+  F.apply(NodeLost{NodeId("n1"), 5});
+  CHECK(Granted(RunSecond));
+  F.apply(MarkSuspects{"t2/1", {Second}});
+  CHECK_FALSE(Granted(RunSecond));
+  CHECK(Granted(RunFirst));
+}
--- a/packages/control/turmericdyke/src/Control/Command.cpp
+++ b/packages/control/turmericdyke/src/Control/Command.cpp
@@ -136,6 +136,17 @@
 
 nlohmann::json body(const ClearSuspect &Value) { return body(Value.m_request); }
 
+template <class SuspectRun> nlohmann::json runBody(const SuspectRun &Value) {
+  nlohmann::json Object = body(Value.m_request);
+  Object["node"] = Value.m_node.str();
+  Object["incarnation"] = Value.m_nodeIncarnation;
+  return Object;
+}
+
+nlohmann::json body(const BeginSuspectRun &Value) { return runBody(Value); }
+
+nlohmann::json body(const EndSuspectRun &Value) { return runBody(Value); }
+
 nlohmann::json body(const Tick &Value) {
   return {{"log_time_us", micros(Value.m_logTime)}};
 }
@@ -288,6 +299,24 @@
   read(Reader, Object, Value.m_request);
 }
 
+template <class SuspectRun>
+void readRun(JsonReader &Reader, const nlohmann::json &Object,
+             SuspectRun &Value) {
+  read(Reader, Object, Value.m_request);
+  Reader.id("node", Value.m_node, true)
+      .number("incarnation", Value.m_nodeIncarnation);
+}
+
+void read(JsonReader &Reader, const nlohmann::json &Object,
+          BeginSuspectRun &Value) {
+  readRun(Reader, Object, Value);
+}
+
+void read(JsonReader &Reader, const nlohmann::json &Object,
+          EndSuspectRun &Value) {
+  readRun(Reader, Object, Value);
+}
+
 void read(JsonReader &Reader, const nlohmann::json &, Tick &Value) {
   readTime(Reader, "log_time_us", Value.m_logTime);
 }
@@ -333,6 +362,8 @@
     {"node_lost", readCommand<NodeLost>},
     {"mark_suspects", readCommand<MarkSuspects>},
     {"clear_suspect", readCommand<ClearSuspect>},
+    {"begin_suspect_run", readCommand<BeginSuspectRun>},
+    {"end_suspect_run", readCommand<EndSuspectRun>},
     {"tick", readCommand<Tick>},
     {"set_limits", readCommand<SetLimits>},
 };
--- a/packages/control/turmericdyke/src/Control/Command.h
+++ b/packages/control/turmericdyke/src/Control/Command.h
@@ -129,6 +129,29 @@
   friend bool operator==(const ClearSuspect &, const ClearSuspect &) = default;
 };
 
+/// Asks for the one permission to run a suspect request. While it is held, the
+/// customer's pool keeps a replica free of other work. It ends with
+/// `EndSuspectRun`, when the request is marked again, when the node is lost, or
+/// after 10 minutes of log time.
+struct BeginSuspectRun {
+  RequestIdentity m_request;
+  NodeId m_node;
+  std::uint64_t m_nodeIncarnation = 0;
+
+  friend bool operator==(const BeginSuspectRun &,
+                         const BeginSuspectRun &) = default;
+};
+
+/// Gives the permission back.
+struct EndSuspectRun {
+  RequestIdentity m_request;
+  NodeId m_node;
+  std::uint64_t m_nodeIncarnation = 0;
+
+  friend bool operator==(const EndSuspectRun &,
+                         const EndSuspectRun &) = default;
+};
+
 /// Advances log time. An earlier time than the newest is ignored.
 struct Tick {
   absl::Time m_logTime = absl::UnixEpoch();
@@ -168,7 +191,7 @@
     std::variant<UnknownCommand, ApplyDeclaration, SetDrained, SetAssignment,
                  RemoveAssignment, AcceptBuild, ReleaseHost, AdvanceFence,
                  BeginOnceOnly, FinishOnceOnly, NodeLost, MarkSuspects,
-                 ClearSuspect, Tick, SetLimits>;
+                 ClearSuspect, BeginSuspectRun, EndSuspectRun, Tick, SetLimits>;
 
 /// Command of an assignment change.
 Command toCommand(AssignmentChange Change);
--- a/packages/control/turmericdyke/src/Control/CommandResult.h
+++ b/packages/control/turmericdyke/src/Control/CommandResult.h
@@ -64,6 +64,10 @@
   WrongPhase,
   /// The change identifier was used for different content.
   ChangeIdReused,
+  /// Another suspect request runs.
+  SuspectRunActive,
+  /// The request crashed two targets and is refused for a time.
+  RequestRefused,
   /// There is no such record, or another node or attempt owns it.
   NotOwner,
 };
--- a/packages/control/turmericdyke/src/Control/ControlState.cpp
+++ b/packages/control/turmericdyke/src/Control/ControlState.cpp
@@ -96,6 +96,7 @@
 
 CommandResult ControlState::applyTo(const NodeLost &Value) {
   m_onceOnly.nodeLost(Value);
+  m_suspects.nodeLost(Value);
   return CommandApplied{};
 }
 
@@ -109,6 +110,21 @@
   return CommandApplied{};
 }
 
+CommandResult ControlState::applyTo(const BeginSuspectRun &Value) {
+  if (m_suspects.stateOf(Value.m_request) == SuspectState::Refused)
+    return CommandRefused{CommandRefusalReason::RequestRefused,
+                          "the request crashed two targets"};
+  if (!m_suspects.apply(Value))
+    return CommandRefused{CommandRefusalReason::SuspectRunActive,
+                          "another suspect request runs"};
+  return CommandApplied{};
+}
+
+CommandResult ControlState::applyTo(const EndSuspectRun &Value) {
+  m_suspects.apply(Value);
+  return CommandApplied{};
+}
+
 CommandResult ControlState::applyTo(const Tick &Value) {
   // Snapshots hold microseconds; a finer time would be lost on restore.
   absl::Time Time = absl::FromUnixMicros(absl::ToUnixMicros(Value.m_logTime));
--- a/packages/control/turmericdyke/src/Control/ControlState.h
+++ b/packages/control/turmericdyke/src/Control/ControlState.h
@@ -109,6 +109,13 @@
   std::size_t onceOnlyRecords() const { return m_onceOnly.recordCount(); }
   std::size_t onceOnlyTombstones() const { return m_onceOnly.tombstoneCount(); }
 
+  /// All marked requests, and the suspect request that may run now.
+  std::map<RequestIdentity, SuspectState> suspects() const {
+    return m_suspects.all();
+  }
+  const std::optional<BeginSuspectRun> &suspectRun() const {
+    return m_suspects.run();
+  }
   SuspectState suspectState(const RequestIdentity &Request) const {
     return m_suspects.stateOf(Request);
   }
@@ -134,6 +141,8 @@
   CommandResult applyTo(const NodeLost &Value);
   CommandResult applyTo(const MarkSuspects &Value);
   CommandResult applyTo(const ClearSuspect &Value);
+  CommandResult applyTo(const BeginSuspectRun &Value);
+  CommandResult applyTo(const EndSuspectRun &Value);
   CommandResult applyTo(const Tick &Value);
   CommandResult applyTo(const SetLimits &Value);
 
--- a/packages/control/turmericdyke/src/Control/SuspectTable.cpp
+++ b/packages/control/turmericdyke/src/Control/SuspectTable.cpp
@@ -15,6 +15,8 @@
 // About 20 MB; a crash marks at most the requests of one replica.
 constexpr std::size_t MaxMarks = 100'000;
 constexpr std::size_t CrashesUntilRefusal = 2;
+// Bounds how long a run whose node forgot it can hold up the other suspects.
+constexpr absl::Duration MaxSuspectRun = absl::Minutes(10);
 
 nlohmann::json bytes(std::string_view Text) {
   return nlohmann::json::binary({Text.begin(), Text.end()});
@@ -31,6 +33,8 @@
 
 void SuspectTable::apply(const MarkSuspects &Command, absl::Time LogTime) {
   for (const RequestIdentity &Request : Command.m_requests) {
+    if (m_run && m_run->m_request == Request)
+      m_run.reset();
     Mark &Value = m_marks[Request];
     auto &Crashes = Value.m_crashes;
     if (std::find(Crashes.begin(), Crashes.end(), Command.m_crashId) !=
@@ -49,6 +53,34 @@
   }
 }
 
+bool SuspectTable::apply(const BeginSuspectRun &Command) {
+  if (m_run && *m_run != Command)
+    return false;
+  m_run = Command;
+  m_runEnds = m_logTime + MaxSuspectRun;
+  return true;
+}
+
+void SuspectTable::apply(const EndSuspectRun &Command) {
+  if (m_run && m_run->m_request == Command.m_request &&
+      m_run->m_node == Command.m_node &&
+      m_run->m_nodeIncarnation == Command.m_nodeIncarnation)
+    m_run.reset();
+}
+
+void SuspectTable::nodeLost(const NodeLost &Command) {
+  if (m_run && m_run->m_node == Command.m_node &&
+      m_run->m_nodeIncarnation <= Command.m_incarnation)
+    m_run.reset();
+}
+
+std::map<RequestIdentity, SuspectState> SuspectTable::all() const {
+  std::map<RequestIdentity, SuspectState> Marked;
+  for (const auto &[Request, Value] : m_marks)
+    Marked.emplace(Request, stateOf(Request));
+  return Marked;
+}
+
 void SuspectTable::apply(const ClearSuspect &Command) {
   auto Found = m_marks.find(Command.m_request);
   // A run that ended well before the second crash says nothing about it.
@@ -60,6 +92,8 @@
 
 void SuspectTable::expire(absl::Time LogTime) {
   m_logTime = LogTime;
+  if (m_run && m_runEnds <= LogTime)
+    m_run.reset();
   while (!m_byExpiry.empty() && m_byExpiry.begin()->first <= LogTime) {
     m_marks.erase(m_byExpiry.begin()->second);
     m_byExpiry.erase(m_byExpiry.begin());
@@ -94,8 +128,15 @@
                      : nlohmann::json()},
          {"expires_us", absl::ToUnixMicros(Value.m_expiresAt)}});
   }
-  return {{"marks", std::move(Marks)},
-          {"log_time_us", absl::ToUnixMicros(m_logTime)}};
+  nlohmann::json Object = {{"marks", std::move(Marks)},
+                           {"log_time_us", absl::ToUnixMicros(m_logTime)}};
+  if (m_run)
+    Object["run"] = {{"customer", m_run->m_request.m_customer.str()},
+                     {"digest", bytes(m_run->m_request.m_digest)},
+                     {"node", m_run->m_node.str()},
+                     {"incarnation", m_run->m_nodeIncarnation},
+                     {"ends_us", absl::ToUnixMicros(m_runEnds)}};
+  return Object;
 }
 
 void SuspectTable::readJson(const nlohmann::json &Value) {
@@ -110,6 +151,15 @@
       Read.m_refusedUntil = absl::FromUnixMicros(Entry["refused_until_us"]);
     setExpiry(Request, Read, absl::FromUnixMicros(Entry.at("expires_us")));
   }
+  if (!Value.contains("run"))
+    return;
+  const nlohmann::json &Run = Value["run"];
+  const nlohmann::json::binary_t &Digest = Run.at("digest").get_binary();
+  m_run = BeginSuspectRun{{CustomerId(Run.at("customer").get<std::string>()),
+                           {Digest.begin(), Digest.end()}},
+                          NodeId(Run.at("node").get<std::string>()),
+                          Run.at("incarnation")};
+  m_runEnds = absl::FromUnixMicros(Run.at("ends_us"));
 }
 
 } // namespace turmericdyke::internal
--- a/packages/control/turmericdyke/src/Control/SuspectTable.h
+++ b/packages/control/turmericdyke/src/Control/SuspectTable.h
@@ -32,6 +32,14 @@
   void apply(const ClearSuspect &Command);
   void expire(absl::Time LogTime);
 
+  /// Whether the run was granted; asking again for the same run is granted.
+  bool apply(const BeginSuspectRun &Command);
+  void apply(const EndSuspectRun &Command);
+  void nodeLost(const NodeLost &Command);
+
+  /// All marked requests.
+  std::map<RequestIdentity, SuspectState> all() const;
+  const std::optional<BeginSuspectRun> &run() const { return m_run; }
   SuspectState stateOf(const RequestIdentity &Request) const;
   /// Log time at which the refusal ends; nothing when not refused.
   std::optional<absl::Time> refusedUntil(const RequestIdentity &Request) const;
@@ -53,6 +61,8 @@
   std::map<RequestIdentity, Mark> m_marks;
   std::set<std::pair<absl::Time, RequestIdentity>> m_byExpiry;
   absl::Time m_logTime = absl::UnixEpoch();
+  std::optional<BeginSuspectRun> m_run;
+  absl::Time m_runEnds = absl::UnixEpoch();
 };
 
 } // namespace internal
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
@@ -42,6 +42,16 @@
     Reply.m_message = "no replica took the request";
     Reply.m_retryAfter = RetryWithoutReplica;
     break;
+  case AttemptEnd::CrashingRequest:
+    Reply.m_status = 422;
+    Reply.m_message = "the request took down two targets and is refused";
+    break;
+  case AttemptEnd::SuspectWaiting:
+    Reply.m_status = 429;
+    Reply.m_message = "the request was on a target that died; it must run "
+                      "alone, and could not in time";
+    Reply.m_retryAfter = RetryWithoutReplica;
+    break;
   case AttemptEnd::TimedOut:
     Reply.m_status = 504;
     Reply.m_message = "the answer did not come in time";
@@ -96,8 +106,8 @@
 
 CallerServer::CallerServer(EdgeServices &Services, ControlPort &Control,
                            CallerOptions Options)
-    : m_services(Services), m_serviceHandler(Services, Control),
-      m_options(std::move(Options)) {
+    : m_services(Services), m_control(Control),
+      m_serviceHandler(Services, Control), m_options(std::move(Options)) {
   m_server.new_task_queue = [Max = m_options.m_maxConnections] {
     return new ConnectionThreads(Max);
   };
@@ -320,7 +330,8 @@
     return;
   }
   auto Running = std::shared_ptr<Exchange>(
-      new Exchange(m_services, std::move(Call)), [this](Exchange *Done) {
+      new Exchange(m_services, m_control, std::move(Call)),
+      [this](Exchange *Done) {
         delete Done;
         --m_inFlight;
       });
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.h
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.h
@@ -72,6 +72,7 @@
   void noteEnd(const Exchange &Running, const AttemptResult &Result);
 
   EdgeServices &m_services;
+  ControlPort &m_control;
   ServiceHandler m_serviceHandler;
   CallerOptions m_options;
   ListenBacklog m_backlog;
--- a/packages/edge/turmericdyke/src/Edge/ClusterView.h
+++ b/packages/edge/turmericdyke/src/Edge/ClusterView.h
@@ -8,6 +8,7 @@
 
 #include "absl/synchronization/mutex.h"
 #include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Control/ControlState.h"
 #include "turmericdyke/src/Declaration/Declaration.h"
 #include "turmericdyke/src/Fleet/TargetAnnouncement.h"
 
@@ -48,6 +49,10 @@
   Instant m_leaseUntil = absl::InfinitePast();
   std::map<std::string, std::vector<ServingReplica>> m_pools;
   std::map<ServiceId, std::vector<ServiceEndpoint>> m_services;
+  /// Requests that were marked because their target died.
+  std::map<RequestIdentity, SuspectState> m_suspects;
+  /// The replica of a pool that is kept free for a suspect request.
+  std::map<std::string, ReplicaId> m_isolated;
 };
 
 /// Holds the newest view. The lock covers the exchange of a pointer only.
--- /dev/null
+++ b/packages/edge/turmericdyke/src/Edge/CrashGuard.cpp
@@ -0,0 +1,150 @@
+#include "turmericdyke/src/Edge/CrashGuard.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include "absl/time/clock.h"
+#include "turmericdyke/src/Base/Bytes.h"
+#include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Edge/ControlPort.h"
+#include "turmericdyke/src/Edge/EdgeServices.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+constexpr absl::Duration PollInterval = absl::Milliseconds(50);
+/// A dead target leaves the view 2.5 s after its last announcement.
+constexpr absl::Duration EvidenceLimit = absl::Seconds(3);
+constexpr std::chrono::milliseconds ProbeTimeout(100);
+
+const ServingReplica *findReplica(const ClusterView &View,
+                                  const std::string &Pool,
+                                  const ReplicaId &Replica) {
+  auto Found = View.m_pools.find(Pool);
+  if (Found == View.m_pools.end())
+    return nullptr;
+  for (const ServingReplica &Serving : Found->second)
+    if (Serving.m_replica == Replica)
+      return &Serving;
+  return nullptr;
+}
+
+/// Whether nothing listens at the address any more.
+bool refusesConnections(const std::string &Address) {
+  httplib::Client Client("http://" + Address);
+  Client.set_connection_timeout(ProbeTimeout);
+  Client.set_read_timeout(ProbeTimeout);
+  httplib::Result Answer = Client.Get("/healthz");
+  return !Answer && Answer.error() == httplib::Error::Connection;
+}
+
+} // namespace
+} // namespace internal
+
+CrashGuard::CrashGuard(EdgeServices &Services, ControlPort &Control,
+                       RequestIdentity Request, std::string Pool)
+    : m_services(Services), m_control(Control), m_request(std::move(Request)),
+      m_pool(std::move(Pool)) {
+  m_marked = state() != SuspectState::Clear;
+}
+
+CrashGuard::~CrashGuard() { releaseRun(); }
+
+SuspectState CrashGuard::state() const {
+  std::shared_ptr<const ClusterView> View = m_services.m_views.get();
+  auto Found = View->m_suspects.find(m_request);
+  return Found == View->m_suspects.end() ? SuspectState::Clear : Found->second;
+}
+
+bool CrashGuard::died(const ServingReplica &Replica, Instant BrokenAt) const {
+  Instant Until = BrokenAt + internal::EvidenceLimit;
+  while (monotonicNow() < Until) {
+    std::shared_ptr<const ClusterView> View = m_services.m_views.get();
+    const ServingReplica *Now =
+        internal::findReplica(*View, m_pool, Replica.m_replica);
+    if (Now == nullptr || Now->m_headIncarnation != Replica.m_headIncarnation)
+      return true;
+    if (internal::refusesConnections(Replica.m_headAddress))
+      return true;
+    if (Now->m_loadTime > BrokenAt)
+      return false;
+    absl::SleepFor(internal::PollInterval);
+  }
+  return true;
+}
+
+bool CrashGuard::noteBroken(const ServingReplica &Replica) {
+  if (!died(Replica, monotonicNow()))
+    return false;
+  MarkSuspects Mark;
+  Mark.m_crashId =
+      fmt::format("{}/{}", Replica.m_head.str(), Replica.m_headIncarnation);
+  Mark.m_requests = {m_request};
+  // The mark is committed before anything runs again. Without a commit the
+  // request is not run again either.
+  Submission Done = m_control.submit(Mark);
+  m_marked = true;
+  m_services.m_metrics.increment("turmericdyke_suspects_total",
+                                 {{"customer", m_request.m_customer.str()}});
+  LogLine(LogLevel::Warning, "suspect_marked")
+      .field("customer", m_request.m_customer)
+      .field("digest", toHex(m_request.m_digest))
+      .field("crash", Mark.m_crashId)
+      .field("committed", Done.m_status == Submission::Status::Committed);
+  return true;
+}
+
+bool CrashGuard::isolatedReplicaIsIdle(Instant Since) const {
+  std::shared_ptr<const ClusterView> View = m_services.m_views.get();
+  auto Isolated = View->m_isolated.find(m_pool);
+  if (Isolated == View->m_isolated.end())
+    return false;
+  const ServingReplica *Replica =
+      internal::findReplica(*View, m_pool, Isolated->second);
+  return Replica != nullptr && Replica->m_loadTime > Since &&
+         Replica->m_load.m_running == 0 && Replica->m_load.m_waiting == 0;
+}
+
+bool CrashGuard::acquireRun(Instant Deadline) {
+  BeginSuspectRun Begin{m_request, m_services.m_node, m_services.m_incarnation};
+  while (!m_holdsRun && monotonicNow() < Deadline) {
+    Submission Done = m_control.submit(Begin);
+    const auto *Refused = std::get_if<CommandRefused>(&Done.m_result);
+    if (Refused != nullptr &&
+        Refused->m_reason == CommandRefusalReason::RequestRefused)
+      return false;
+    m_holdsRun = Done.m_status == Submission::Status::Committed &&
+                 std::holds_alternative<CommandApplied>(Done.m_result);
+    if (!m_holdsRun)
+      absl::SleepFor(internal::PollInterval);
+  }
+  Instant Granted = monotonicNow();
+  while (m_holdsRun && monotonicNow() < Deadline) {
+    if (isolatedReplicaIsIdle(Granted))
+      return true;
+    absl::SleepFor(internal::PollInterval);
+  }
+  return false;
+}
+
+void CrashGuard::noteFinished() {
+  if (!m_marked)
+    return;
+  (void)m_control.submit(ClearSuspect{m_request});
+  m_marked = false;
+  releaseRun();
+}
+
+void CrashGuard::releaseRun() {
+  if (!m_holdsRun)
+    return;
+  m_holdsRun = false;
+  (void)m_control.submit(
+      EndSuspectRun{m_request, m_services.m_node, m_services.m_incarnation});
+}
+
+} // namespace turmericdyke
--- a/packages/edge/turmericdyke/src/Edge/Exchange.cpp
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "absl/time/clock.h"
+#include "turmericdyke/src/Base/Bytes.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Edge/AttemptRun.h"
 #include "turmericdyke/src/Edge/EdgeServices.h"
@@ -29,8 +30,11 @@
 } // namespace
 } // namespace internal
 
-Exchange::Exchange(EdgeServices &Services, CompletionCall Call)
-    : m_services(Services), m_call(std::move(Call)) {
+Exchange::Exchange(EdgeServices &Services, ControlPort &Control,
+                   CompletionCall Call)
+    : m_services(Services), m_call(std::move(Call)),
+      m_guard(Services, Control, {m_call.m_customer, sha256(m_call.m_body)},
+              m_call.m_pool) {
   m_services.onRequest(m_call.m_pool);
   m_route.m_class = m_call.m_class;
   m_route.m_prefixHashes = m_call.m_prefixHashes;
@@ -42,11 +46,53 @@
   m_services.m_gate.release(m_call.m_pool, m_call.m_request);
 }
 
+bool Exchange::mayStart() {
+  SuspectState State = m_guard.state();
+  if (State == SuspectState::Suspect &&
+      !m_guard.acquireRun(m_call.m_firstTokenBy)) {
+    State = m_guard.state();
+    if (State == SuspectState::Suspect)
+      m_lastResult.m_end = AttemptEnd::SuspectWaiting;
+  }
+  if (State == SuspectState::Refused)
+    m_lastResult.m_end = AttemptEnd::CrashingRequest;
+  bool Stopped = m_lastResult.m_end == AttemptEnd::SuspectWaiting ||
+                 m_lastResult.m_end == AttemptEnd::CrashingRequest;
+  if (Stopped)
+    m_lastResult.m_leftProcess = false;
+  return !Stopped;
+}
+
+RouteRequest Exchange::routeRequest(const ClusterView &View) const {
+  RouteRequest Request = m_route;
+  auto Isolated = View.m_isolated.find(m_call.m_pool);
+  if (Isolated == View.m_isolated.end())
+    return Request;
+  if (m_guard.state() == SuspectState::Clear) {
+    Request.m_excluded.push_back(Isolated->second);
+    return Request;
+  }
+  Request.m_excluded.clear();
+  auto Pool = View.m_pools.find(m_call.m_pool);
+  if (Pool != View.m_pools.end())
+    for (const ServingReplica &Serving : Pool->second)
+      if (Serving.m_replica != Isolated->second)
+        Request.m_excluded.push_back(Serving.m_replica);
+  return Request;
+}
+
+AttemptResult Exchange::result(AttemptResult Last) const {
+  Last.m_earlierMayHaveRun = m_earlierMayHaveRun;
+  return Last;
+}
+
 bool Exchange::startAttempt() {
+  if (!mayStart())
+    return false;
   std::shared_ptr<const ClusterView> View = m_services.m_views.get();
   m_attempt = AttemptId(m_services.nextId());
-  m_replica =
-      m_services.m_router.start(*View, m_call.m_pool, m_attempt, m_route);
+  m_replica = m_services.m_router.start(*View, m_call.m_pool, m_attempt,
+                                        routeRequest(*View));
   if (!m_replica)
     return false;
   ++m_attempts;
@@ -73,7 +119,7 @@
 ExchangeStep Exchange::next(const std::function<bool()> &CallerAlive) {
   for (;;) {
     if (!m_run && !startAttempt())
-      return {"", m_lastResult};
+      return {"", result(m_lastResult)};
     AttemptActions Actions = m_run->next(CallerAlive);
     if (!Actions.m_forward.empty())
       noteProgress();
@@ -82,7 +128,7 @@
     finishAttempt(*Actions.m_result);
     if (retry(*Actions.m_result))
       continue;
-    return {std::move(Actions.m_forward), Actions.m_result};
+    return {std::move(Actions.m_forward), result(*Actions.m_result)};
   }
 }
 
@@ -144,6 +190,10 @@
 }
 
 bool Exchange::retry(const AttemptResult &Result) {
+  if (Result.m_end == AttemptEnd::Complete)
+    m_guard.noteFinished();
+  if (Result.m_end == AttemptEnd::EndedEarly)
+    (void)m_guard.noteBroken(*m_replica);
   RetryRequest Facts;
   Facts.m_repeatable = true;
   Facts.m_attemptsMade = m_attempts;
@@ -155,6 +205,8 @@
       });
   if (!Pause)
     return false;
+  m_earlierMayHaveRun =
+      m_earlierMayHaveRun || Result.outcome() == Outcome::MayHaveRun;
   m_route.m_excluded.push_back(m_replica->m_replica);
   m_services.m_metrics.increment("turmericdyke_retries_total",
                                  {{"pool", m_call.m_pool}});
--- a/packages/edge/turmericdyke/src/Edge/Exchange.h
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.h
@@ -10,6 +10,7 @@
 #include "turmericdyke/src/Admission/ClassEstimate.h"
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Edge/ClusterView.h"
+#include "turmericdyke/src/Edge/CrashGuard.h"
 #include "turmericdyke/src/Requests/RetryPolicy.h"
 #include "turmericdyke/src/Routing/Candidate.h"
 
@@ -17,6 +18,7 @@
 
 struct EdgeServices;
 class AttemptRun;
+class ControlPort;
 
 /// One accepted completion request on its way through attempts.
 struct CompletionCall {
@@ -47,7 +49,7 @@
 /// the thread of the caller's connection only.
 class Exchange {
 public:
-  Exchange(EdgeServices &Services, CompletionCall Call);
+  Exchange(EdgeServices &Services, ControlPort &Control, CompletionCall Call);
   /// Cancels a running attempt.
   ~Exchange();
 
@@ -61,6 +63,10 @@
 
 private:
   bool startAttempt();
+  /// Whether the attempt may start; a suspect request waits for its turn.
+  bool mayStart();
+  RouteRequest routeRequest(const ClusterView &View) const;
+  AttemptResult result(AttemptResult Last) const;
   void finishAttempt(const AttemptResult &Result);
   void noteProgress();
   void correctClass();
@@ -71,6 +77,8 @@
   CompletionCall m_call;
   std::int64_t m_attempts = 0;
   RouteRequest m_route;
+  CrashGuard m_guard;
+  bool m_earlierMayHaveRun = false;
   std::optional<ServingReplica> m_replica;
   AttemptId m_attempt;
   std::unique_ptr<AttemptRun> m_run;
--- a/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
+++ b/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
@@ -137,6 +137,7 @@
   m_services.onRequest(Group);
   Tried Last;
   Last.m_result.m_end = AttemptEnd::ConnectFailed;
+  bool MayHaveRun = false;
   RetryRequest Facts;
   Facts.m_repeatable = true;
   Facts.m_attemptsMade = 0;
@@ -152,10 +153,12 @@
           return decideRetry(monotonicNow(), RetryOptions(), Facts,
                              Last.m_result, Budget, Random);
         });
+    MayHaveRun = MayHaveRun || Last.m_result.outcome() == Outcome::MayHaveRun;
     if (!Pause)
       break;
     absl::SleepFor(*Pause);
   }
+  Last.m_result.m_earlierMayHaveRun = MayHaveRun;
   return internal::errorReply(internal::errorOf(Last.m_result));
 }
 
--- a/packages/node/turmericdyke/src/Node/FleetSide.cpp
+++ b/packages/node/turmericdyke/src/Node/FleetSide.cpp
@@ -250,6 +250,7 @@
     View.m_pools[Existing->m_pool].push_back(
         internal::servingReplica(*Existing, Head, Models[Existing->m_pool]));
   }
+  fillSuspects(State, View);
   for (const auto &[Id, Known] : Targets) {
     const TargetAnnouncement &Shown = *Known.m_announcement;
     bool Takes = Known.m_fresh && Shown.m_kind == TargetKind::Service &&
@@ -260,6 +261,22 @@
   }
 }
 
+void FleetSide::fillSuspects(const ControlState &State, ClusterView &View) {
+  View.m_suspects = State.suspects();
+  const std::optional<BeginSuspectRun> &Run = State.suspectRun();
+  if (!Run || !State.declaration())
+    return;
+  const auto &Customers = State.declaration()->m_customers;
+  auto Owner = Customers.find(Run->m_request.m_customer);
+  if (Owner == Customers.end())
+    return;
+  // All nodes take the last replica by name, so that none sends other work
+  // there. A pool with one replica has none to spare for others.
+  auto Pool = View.m_pools.find(poolName(Owner->second.m_resolved));
+  if (Pool != View.m_pools.end())
+    View.m_isolated[Pool->first] = Pool->second.back().m_replica;
+}
+
 nlohmann::json FleetSide::nodesJson(Instant Now, const ControlState &State,
                                     bool LeaseValid) const {
   internal::Json Nodes = internal::Json::array();
--- a/packages/node/turmericdyke/src/Node/FleetSide.h
+++ b/packages/node/turmericdyke/src/Node/FleetSide.h
@@ -97,6 +97,7 @@
   void takeMembership(FleetOutput &Output, bool Leads);
   void takeDigests(const ControlState &State, bool LeaseValid,
                    FleetOutput &Output);
+  static void fillSuspects(const ControlState &State, ClusterView &View);
   nlohmann::json nodesJson(Instant Now, const ControlState &State,
                            bool LeaseValid) const;
 
--- a/packages/requests/turmericdyke/src/Requests/AttemptTypes.h
+++ b/packages/requests/turmericdyke/src/Requests/AttemptTypes.h
@@ -47,7 +47,11 @@
   /// No first byte or no progress within its bound, or past the deadline.
   TimedOut,
   /// The caller went away.
-  CallerGone
+  CallerGone,
+  /// Not started: the request crashed two targets.
+  CrashingRequest,
+  /// Not started: the request is suspect and could not run alone in time.
+  SuspectWaiting
 };
 
 std::string_view nameOf(AttemptEnd Value);
@@ -90,8 +94,10 @@
   /// Whether bytes of the answer were handed on to the caller.
   bool m_forwarded = false;
   std::int64_t m_tokens = 0;
+  /// An earlier attempt of the request may have run.
+  bool m_earlierMayHaveRun = false;
 
-  /// What is known about the request from this attempt alone.
+  /// What is known about the request.
   Outcome outcome() const;
 };
 
