--- a/packages/standin/turmericdyke/src/StandIn/StandInTarget.cpp
+++ b/packages/standin/turmericdyke/src/StandIn/StandInTarget.cpp
@@ -30,27 +30,39 @@
   return !Text.empty() && Body.find(Text) != std::string::npos;
 }
 
-std::string tokenText(std::int64_t Index) {
-  return fmt::format("token{} ", Index);
+/// The last user message or the prompt of a completion request.
+std::string requestText(const Json &Body) {
+  if (!Body.is_object())
+    return "";
+  auto Prompt = Body.find("prompt");
+  if (Prompt != Body.end() && Prompt->is_string())
+    return Prompt->get<std::string>();
+  auto Messages = Body.find("messages");
+  if (Messages == Body.end() || !Messages->is_array() || Messages->empty() ||
+      !Messages->back().is_object())
+    return "";
+  auto Content = Messages->back().find("content");
+  bool IsText = Content != Messages->back().end() && Content->is_string();
+  return IsText ? Content->get<std::string>() : "";
 }
 
-std::string streamChunk(bool Chat, std::int64_t Index, bool Last) {
+std::string streamChunk(bool Chat, const std::string &Token, bool Last) {
   Json Choice = {{"index", 0}};
   if (Chat)
-    Choice["delta"] =
-        Last ? Json::object() : Json{{"content", tokenText(Index)}};
+    Choice["delta"] = Last ? Json::object() : Json{{"content", Token}};
   else
-    Choice["text"] = Last ? "" : tokenText(Index);
+    Choice["text"] = Last ? "" : Token;
   Choice["finish_reason"] = Last ? Json("stop") : Json(nullptr);
   return fmt::format(
       "data: {}\n\n",
       Json{{"object", "chunk"}, {"choices", Json::array({Choice})}}.dump());
 }
 
-std::string wholeAnswer(bool Chat, std::int64_t Tokens) {
+std::string wholeAnswer(bool Chat, const std::string &Echo,
+                        std::int64_t Tokens) {
   std::string Text;
   for (std::int64_t Index = 0; Index < Tokens; ++Index)
-    Text += tokenText(Index);
+    Text += standInToken(Index, Echo);
   Json Choice = {{"index", 0}, {"finish_reason", "stop"}};
   if (Chat)
     Choice["message"] = {{"role", "assistant"}, {"content", Text}};
@@ -83,7 +95,8 @@
   bool stream(std::size_t Run, const std::string &Body, bool Chat,
               std::int64_t Tokens, httplib::DataSink &Sink);
   bool refuses(const httplib::Request &Request, httplib::Response &Response);
-  std::size_t startRun(const httplib::Request &Request);
+  std::size_t startRun(const httplib::Request &Request, std::string Text);
+  void noteArrival();
   void finishRun(std::size_t Run, bool Whole);
   void waitSilently(httplib::DataSink &Sink);
   void startLoading(const Order &Received)
@@ -102,6 +115,7 @@
   TargetAnnouncement m_state ABSL_GUARDED_BY(m_lock);
   Instant m_loadedAt ABSL_GUARDED_BY(m_lock) = absl::InfiniteFuture();
   std::vector<StandInRun> m_runs ABSL_GUARDED_BY(m_lock);
+  Instant m_lastArrival ABSL_GUARDED_BY(m_lock) = absl::InfinitePast();
   std::set<std::string> m_cancelledAttempts ABSL_GUARDED_BY(m_lock);
 };
 
@@ -282,15 +296,25 @@
   return true;
 }
 
-std::size_t StandInTarget::Impl::startRun(const httplib::Request &Request) {
+std::size_t StandInTarget::Impl::startRun(const httplib::Request &Request,
+                                          std::string Text) {
+  StandInRun Run;
+  Run.m_attempt = AttemptId(Request.get_header_value("X-Turmericdyke-Attempt"));
+  Run.m_path = Request.path;
+  Run.m_idempotencyKey = Request.get_header_value("Idempotency-Key");
+  Run.m_request = RequestId(Request.get_header_value("X-Turmericdyke-Request"));
+  Run.m_text = std::move(Text);
   absl::MutexLock Lock(&m_lock);
-  m_runs.push_back(
-      {AttemptId(Request.get_header_value("X-Turmericdyke-Attempt")),
-       Request.path, Request.get_header_value("Idempotency-Key"), false});
+  m_runs.push_back(std::move(Run));
   ++m_state.m_load.m_running;
   return m_runs.size() - 1;
 }
 
+void StandInTarget::Impl::noteArrival() {
+  absl::MutexLock Lock(&m_lock);
+  m_lastArrival = monotonicNow();
+}
+
 void StandInTarget::Impl::finishRun(std::size_t Run, bool Whole) {
   absl::MutexLock Lock(&m_lock);
   m_runs[Run].m_finished = Whole;
@@ -307,9 +331,12 @@
                                  bool Chat, std::int64_t Tokens,
                                  httplib::DataSink &Sink) {
   std::string Attempt;
+  std::string Echo;
   {
     absl::MutexLock Lock(&m_lock);
     Attempt = m_runs[Run].m_attempt.str();
+    if (m_options.m_echo)
+      Echo = m_runs[Run].m_text;
   }
   for (std::int64_t Index = 0; Index < Tokens; ++Index) {
     absl::SleepFor(m_options.m_tokenInterval);
@@ -318,7 +345,8 @@
       absl::MutexLock Lock(&m_lock);
       Cancelled = m_cancelledAttempts.count(Attempt) != 0;
     }
-    std::string Chunk = internal::streamChunk(Chat, Index, false);
+    std::string Chunk =
+        internal::streamChunk(Chat, standInToken(Index, Echo), false);
     if (m_stopped || Cancelled || !Sink.is_writable() ||
         !Sink.write(Chunk.data(), Chunk.size()))
       return false;
@@ -333,8 +361,7 @@
       return true;
     }
   }
-  std::string End =
-      internal::streamChunk(Chat, Tokens, true) + "data: [DONE]\n\n";
+  std::string End = internal::streamChunk(Chat, "", true) + "data: [DONE]\n\n";
   if (!Sink.write(End.data(), End.size()))
     return false;
   finishRun(Run, true);
@@ -344,6 +371,7 @@
 
 void StandInTarget::Impl::onCompletion(const httplib::Request &Request,
                                        httplib::Response &Response, bool Chat) {
+  noteArrival();
   std::string Attempt = Request.get_header_value("X-Turmericdyke-Attempt");
   if (internal::matches(Request.body, m_options.m_crossedText))
     Attempt = "crossed";
@@ -360,12 +388,14 @@
   if (Body.is_object() && Body.contains("max_tokens") &&
       Body["max_tokens"].is_number_integer())
     Tokens = Body["max_tokens"].get<std::int64_t>();
-  std::size_t Run = startRun(Request);
+  std::string Text = internal::requestText(Body);
+  std::size_t Run = startRun(Request, Text);
   bool Stream = Body.is_object() && Body.value("stream", false);
   if (!Stream) {
     absl::SleepFor(m_options.m_tokenInterval * Tokens);
-    Response.set_content(internal::wholeAnswer(Chat, Tokens),
-                         "application/json");
+    Response.set_content(
+        internal::wholeAnswer(Chat, m_options.m_echo ? Text : "", Tokens),
+        "application/json");
     finishRun(Run, true);
     return;
   }
@@ -384,6 +414,7 @@
 
 void StandInTarget::Impl::onServiceCall(const httplib::Request &Request,
                                         httplib::Response &Response) {
+  noteArrival();
   Response.set_header("X-Turmericdyke-Attempt",
                       Request.get_header_value("X-Turmericdyke-Attempt"));
   if (m_options.m_kind != TargetKind::Service) {
@@ -392,13 +423,19 @@
   }
   if (internal::matches(Request.body, m_options.m_crashText))
     std::_Exit(70);
-  std::size_t Run = startRun(Request);
+  std::size_t Run = startRun(Request, Request.body);
   absl::SleepFor(m_options.m_tokenInterval);
   finishRun(Run, true);
-  Response.set_content(
-      internal::Json{{"service", m_options.m_service.str()}, {"run", Run + 1}}
-          .dump(),
-      "application/json");
+  internal::Json Answer = {{"service", m_options.m_service.str()},
+                           {"run", Run + 1}};
+  if (m_options.m_echo)
+    Answer["echo"] = Request.body;
+  Response.set_content(Answer.dump(), "application/json");
+}
+
+std::string standInToken(std::int64_t Index, std::string_view Text) {
+  return Text.empty() ? fmt::format("token{} ", Index)
+                      : fmt::format("token{}:{} ", Index, Text);
 }
 
 StandInTarget::StandInTarget(StandInOptions Options)
@@ -432,6 +469,11 @@
   return m_impl->m_runs;
 }
 
+Instant StandInTarget::lastArrival() const {
+  absl::MutexLock Lock(&m_impl->m_lock);
+  return m_impl->m_lastArrival;
+}
+
 std::size_t StandInTarget::cancelled() const {
   absl::MutexLock Lock(&m_impl->m_lock);
   return m_impl->m_cancelledAttempts.size();
--- a/packages/standin/turmericdyke/src/StandIn/StandInTarget.h
+++ b/packages/standin/turmericdyke/src/StandIn/StandInTarget.h
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
+#include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Fleet/TargetAnnouncement.h"
 
 namespace turmericdyke {
@@ -34,6 +36,9 @@
   std::string m_earlyEndText;
   std::string m_silentText;
   std::string m_crossedText;
+  /// Whether each token and each answer of a service repeats the text of its
+  /// request: the last user message or prompt, or the body of a service call.
+  bool m_echo = false;
 };
 
 /// What a target did with one request, kept so that tests can compare it with
@@ -43,8 +48,15 @@
   std::string m_path;
   std::string m_idempotencyKey;
   bool m_finished = false;
+  RequestId m_request;
+  /// The last user message or prompt, or the body of a service call.
+  std::string m_text;
 };
 
+/// The text that a target with `StandInOptions::m_echo` sends as token `Index`
+/// of the answer to `Text`.
+std::string standInToken(std::int64_t Index, std::string_view Text);
+
 /// A small target for tests and the demo: announces itself, follows orders,
 /// serves completions and plain service calls with fixed text. Not a model of
 /// an engine's speed.
@@ -66,6 +78,9 @@
   /// Changes the engine build, as a vendor's patch does.
   void setEngineBuild(std::string Build);
   std::vector<StandInRun> runs() const;
+  /// When the last request or service call arrived, also if it was refused;
+  /// the infinite past if there was none.
+  Instant lastArrival() const;
   std::size_t cancelled() const;
   TargetAnnouncement announcement() const;
 
