--- a/packages/node/app/Main.cpp
+++ b/packages/node/app/Main.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <utility>
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -14,6 +15,12 @@
 
 DEFINE_bool(check_settings, false, "check the settings and exit");
 
+namespace GFLAGS_NAMESPACE {
+/// Called when the command line cannot be read. gflags exports it without
+/// declaring it in a header.
+extern void (*gflags_exitfunc)(int);
+} // namespace GFLAGS_NAMESPACE
+
 using namespace turmericdyke;
 
 namespace {
@@ -69,7 +76,12 @@
   Result<void, SettingsError> Environment = readEnvironment();
   if (!Environment)
     return failSettings(Environment.error());
-  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  // gflags itself would exit with code 1.
+  auto *Exit = std::exchange(GFLAGS_NAMESPACE::gflags_exitfunc,
+                             [](int) { std::exit(SettingsExitCode); });
+  gflags::ParseCommandLineNonHelpFlags(&ArgumentCount, &Arguments, true);
+  GFLAGS_NAMESPACE::gflags_exitfunc = Exit;
+  gflags::HandleCommandLineHelpFlags();
   if (ArgumentCount > 1)
     return failSettings({Arguments[1], "is not a flag"});
   Result<Settings, SettingsError> Checked = parseSettings();
