Add tests over live processes

Nodes run as child processes, targets and callers in the test program. An oracle compares what callers and operators were told with the records of the targets.

--- /dev/null
+++ b/tests/live/NodeProcess.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+#include "absl/time/time.h"
+
+/// A loopback port that stays bound, without listening, so that the system
+/// gives it to no other socket while nodes are stopped and started on it.
+class ReservedPort {
+public:
+  ReservedPort();
+  ~ReservedPort();
+  ReservedPort(const ReservedPort &) = delete;
+  ReservedPort &operator=(const ReservedPort &) = delete;
+
+  int port() const { return m_port; }
+  std::string address() const;
+
+private:
+  int m_socket = -1;
+  int m_port = 0;
+};
+
+/// One `turmericdyked` as a child process. Must be started and stopped on the
+/// main thread: the child is killed when the thread that started it ends.
+class NodeProcess {
+public:
+  /// `Log` receives the standard error of each start, appended.
+  NodeProcess(std::vector<std::string> Arguments, std::string Log);
+  ~NodeProcess();
+  NodeProcess(const NodeProcess &) = delete;
+  NodeProcess &operator=(const NodeProcess &) = delete;
+
+  void start();
+  void signal(int Number) const;
+  /// SIGKILL, and waits for the end.
+  void kill();
+  /// The exit code, or 128 + the signal that ended the process; nothing if it
+  /// runs after `Limit`.
+  std::optional<int> waitForExit(absl::Duration Limit);
+  bool runs() const { return m_pid > 0; }
+  const std::string &log() const { return m_log; }
+
+private:
+  std::vector<std::string> m_arguments;
+  std::string m_log;
+  pid_t m_pid = -1;
+};
--- /dev/null
+++ b/tests/live/TargetFaultTest.cpp
@@ -0,0 +1,119 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "Oracle.h"
+#include "absl/time/clock.h"
+
+using namespace turmericdyke;
+
+namespace {
+
+constexpr absl::Duration LeavingBound = absl::Seconds(3);
+
+using Members = std::vector<std::string>;
+
+bool contains(const Members &Names, const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+/// Waits until each node shows two serving replicas, none with a member of
+/// `Dead`.
+bool repaired(const LiveCluster &Cluster, const Members &Dead) {
+  return eventually(PatientLimit, [&] {
+    for (std::size_t Node = 0; Node < NodeCount; ++Node) {
+      auto Serving = Cluster.servingReplicas(Node);
+      bool Whole = Serving.size() >= 2;
+      for (const auto &[Replica, Names] : Serving)
+        for (const std::string &Name : Names)
+          Whole = Whole && !contains(Dead, Name);
+      if (!Whole)
+        return false;
+    }
+    return true;
+  });
+}
+
+void crash(LiveCluster &Cluster, LiveLoad &Load, const std::string &Name) {
+  Cluster.target(Name).crash();
+  Load.noteDeath(Name);
+}
+
+} // namespace
+
+// Guards against replicas that serve without a member or are not repaired, also
+// when the survivor fails right after the repair.
+TEST_CASE("a target crashes, and a second one right after the repair") {
+  LiveCluster Cluster;
+  REQUIRE(Cluster.form());
+  LiveLoad Load(Cluster);
+  auto Serving = Cluster.servingReplicas(0);
+  REQUIRE(Serving.size() >= 2);
+  Members Broken = Serving.begin()->second;
+  crash(Cluster, Load, Broken[0]);
+  REQUIRE(repaired(Cluster, {Broken[0]}));
+  crash(Cluster, Load, Broken[1]);
+  REQUIRE(repaired(Cluster, Broken));
+  REQUIRE(eventually(PatientLimit, [&] { return Load.answered() > 50; }));
+  concludeScenario(Cluster, Load);
+}
+
+// Guards against new work for a target that has announced that it leaves.
+TEST_CASE("targets that leave get no new work after 3 s") {
+  LiveCluster Cluster;
+  REQUIRE(Cluster.form());
+  LiveLoad Load(Cluster);
+  REQUIRE(eventually(PatientLimit, [&] { return Load.answered() > 50; }));
+  auto Serving = Cluster.servingReplicas(0);
+  REQUIRE(Serving.size() >= 2);
+  StandInTarget &Head = Cluster.target(Serving.begin()->second[0]);
+  StandInTarget &Service = *Cluster.targets().back();
+  REQUIRE(Head.lastArrival() > absl::InfinitePast());
+  REQUIRE(Service.lastArrival() > absl::InfinitePast());
+  Head.leave();
+  Service.leave();
+  Instant Bound = monotonicNow() + LeavingBound;
+  absl::SleepFor(LeavingBound);
+  std::size_t Before = Load.answered();
+  REQUIRE(
+      eventually(PatientLimit, [&] { return Load.answered() > Before + 100; }));
+  CHECK(Head.lastArrival() <= Bound);
+  CHECK(Service.lastArrival() <= Bound);
+  concludeScenario(Cluster, Load);
+}
+
+// Guards against answers that are cut, silent or belong to another attempt and
+// reach the caller as whole; and against operators' data for other keys.
+TEST_CASE("faulty answers and wrong keys") {
+  LiveCluster Cluster;
+  REQUIRE(Cluster.form());
+  LiveLoad Load(Cluster);
+  for (const char *Fault :
+       {FaultText::EarlyEnd, FaultText::Silent, FaultText::Crossed}) {
+    CallerRecord Told = sendChat(Cluster, 3, Fault, 10);
+    CHECK_MESSAGE(!Told.m_whole, Fault);
+    CHECK_MESSAGE(Told.m_outcome == "may_have_run", Fault);
+    Load.add(Told);
+  }
+  for (std::size_t Node = 0; Node < NodeCount; ++Node)
+    for (const char *Key : {"wrong-operator-key", CallerKey, ""}) {
+      auto Client = clientOf(Cluster.operatorAddress(Node), PatientLimit);
+      httplib::Headers Headers = {
+          {"Authorization", fmt::format("Bearer {}", Key)}};
+      for (const char *Path :
+           {"/v1/status", "/v1/history", "/v1/declaration"}) {
+        httplib::Result Answer = Client->Get(Path, Headers);
+        REQUIRE(Answer);
+        CHECK(Answer->status == 401);
+      }
+      for (const char *Path : {"/v1/declaration", "/v1/drain"}) {
+        httplib::Result Answer =
+            Client->Post(Path, Headers, "{}", "application/json");
+        REQUIRE(Answer);
+        CHECK(Answer->status == 401);
+      }
+    }
+  concludeScenario(Cluster, Load);
+}
