--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -74,6 +74,7 @@
     PeerTransportOptions Options;
     Options.m_identity.m_node = m_settings.m_node;
     Options.m_identity.m_incarnation = m_services.m_incarnation;
+    Options.m_identity.m_address = m_settings.m_peerAdvertisedAddress;
     Options.m_listenAddress = m_settings.m_peerAddress.text();
     Options.m_clusterSecret = m_settings.m_clusterSecret;
     auto Started = PeerTransport::start(
--- a/packages/node/turmericdyke/src/Node/Settings.cpp
+++ b/packages/node/turmericdyke/src/Node/Settings.cpp
@@ -24,6 +24,9 @@
               "IP:port where targets announce themselves");
 DEFINE_string(operator_address, "127.0.0.1:8082", "IP:port for operators");
 DEFINE_string(peer_address, "127.0.0.1:8083", "IP:port for the other nodes");
+DEFINE_string(peer_advertised_address, "",
+              "IP:port at which the other nodes reach this one; peer_address "
+              "if empty");
 DEFINE_string(peers, "", "other nodes, NAME=IP:port with commas");
 DEFINE_string(
     initial_voters, "",
@@ -57,6 +60,7 @@
 
 constexpr std::size_t LeastSecretBytes = 16;
 constexpr std::size_t MaxNameBytes = 64;
+constexpr std::string_view AnyAddress = "0.0.0.0";
 
 SettingsError error(std::string_view Setting, std::string Message) {
   return {std::string(Setting), std::move(Message)};
@@ -117,10 +121,25 @@
                            "is the address of another port of this node"));
     Read.*Address.m_member = Parsed.value();
   }
+  if (FLAGS_peer_advertised_address.empty())
+    return success();
+  Result<ListenAddress, SettingsError> Advertised =
+      parseAddress("peer_advertised_address", FLAGS_peer_advertised_address);
+  if (!Advertised)
+    return failure(Advertised.error());
+  if (Advertised.value().m_port == 0 || Advertised.value().m_host == AnyAddress)
+    return failure(error("peer_advertised_address",
+                         "is not an address that other nodes can reach"));
+  Read.m_peerAdvertisedAddress = FLAGS_peer_advertised_address;
   return success();
 }
 
 Result<void, SettingsError> readPeers(Settings &Read) {
+  // The other nodes use the advertised address once they are connected.
+  if (!FLAGS_peers.empty() && Read.m_peerAdvertisedAddress.empty() &&
+      Read.m_peerAddress.m_host == AnyAddress)
+    return failure(error("peer_advertised_address",
+                         "is required if peer_address is 0.0.0.0"));
   for (const std::string &Entry : split(FLAGS_peers)) {
     std::vector<std::string> Parts = absl::StrSplit(Entry, '=');
     if (Parts.size() != 2 || !isName(Parts[0]))
--- a/packages/node/turmericdyke/src/Node/Settings.h
+++ b/packages/node/turmericdyke/src/Node/Settings.h
@@ -28,6 +28,9 @@
   ListenAddress m_targetAddress;
   ListenAddress m_operatorAddress;
   ListenAddress m_peerAddress;
+  /// IP:port that this node tells the other nodes; empty for the address on
+  /// which it listens.
+  std::string m_peerAdvertisedAddress;
   /// Peer addresses of all other nodes.
   std::map<NodeId, std::string> m_peers;
   /// Nodes that are voters when the cluster is formed for the first time.
