--- a/tests/live/LiveCluster.cpp
+++ b/tests/live/LiveCluster.cpp
@@ -65,6 +65,8 @@
   auto Address = [this](std::size_t Node, PortKind Kind) {
     return m_ports[Node * PortsPerNode + Kind]->address();
   };
+  for (std::size_t Index = 0; WithRelays && Index < NodeCount; ++Index)
+    m_relays.push_back(std::make_unique<Relay>(Address(Index, Peer)));
   std::string Secret = m_directory + "/secret";
   std::ofstream(Secret) << "live-cluster-secret-0123456789\n";
   std::vector<std::string> Voters;
@@ -75,12 +77,8 @@
     for (std::size_t Other = 0; Other < NodeCount; ++Other) {
       if (Other == Index)
         continue;
-      std::string To = Address(Other, Peer);
-      if (WithRelays) {
-        auto &Between = m_relays[{Index, Other}];
-        Between = std::make_unique<Relay>(To);
-        To = Between->address();
-      }
+      std::string To =
+          WithRelays ? m_relays[Other]->address() : Address(Other, Peer);
       Peers.push_back(fmt::format("{}={}", name(Other), To));
     }
     std::vector<std::string> Arguments = {
@@ -97,6 +95,9 @@
         "--target_key_hash=" + KeyHash::make(TargetKey, Salt).text(),
         fmt::format("--balancer_notice_ms={}",
                     absl::ToInt64Milliseconds(BalancerNotice))};
+    if (WithRelays)
+      Arguments.push_back("--peer_advertised_address=" +
+                          m_relays[Index]->address());
     if (Index < VoterCount)
       Arguments.push_back("--data_dir=" + dataDirectory(Index));
     m_nodes.push_back(std::make_unique<NodeProcess>(
@@ -243,14 +244,9 @@
 }
 
 void LiveCluster::isolate(std::size_t Index, bool Cut) {
-  for (auto &[Ends, Between] : m_relays) {
-    if (Ends.first != Index && Ends.second != Index)
-      continue;
-    if (Cut)
-      Between->cut();
-    else
-      Between->heal();
-  }
+  constexpr unsigned All = (1U << NodeCount) - 1;
+  for (std::size_t Other = 0; Other < m_relays.size(); ++Other)
+    m_relays[Other]->cut(!Cut ? 0 : Other == Index ? All : 1U << Index);
 }
 
 Json LiveCluster::declaration(int DeadlineSeconds) {
--- a/tests/live/LiveCluster.h
+++ b/tests/live/LiveCluster.h
@@ -48,7 +48,7 @@
 /// fabric domain for two replicas of two hosts, and two service targets.
 class LiveCluster {
 public:
-  /// With relays, each node reaches each other node through one of its own.
+  /// With relays, nodes reach each other through them only.
   explicit LiveCluster(bool WithRelays = false);
   ~LiveCluster();
   LiveCluster(const LiveCluster &) = delete;
@@ -82,7 +82,7 @@
   /// Serving replicas with their members, by the status of node `Index`.
   std::map<std::string, std::vector<std::string>>
   servingReplicas(std::size_t Index) const;
-  /// Cuts or heals all relays to and from node `Index`.
+  /// Cuts node `Index` off from all others, or heals that.
   void isolate(std::size_t Index, bool Cut);
 
   /// A declaration that differs from others only in the customer's deadline.
@@ -98,8 +98,8 @@
 
   std::string m_directory;
   std::vector<std::unique_ptr<ReservedPort>> m_ports;
-  std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<Relay>>
-      m_relays;
+  /// In front of the peer port of each node; empty without relays.
+  std::vector<std::unique_ptr<Relay>> m_relays;
   std::vector<std::unique_ptr<NodeProcess>> m_nodes;
   std::vector<std::unique_ptr<turmericdyke::StandInTarget>> m_targets;
   bool m_passed = false;
--- a/tests/live/NodeFaultTest.cpp
+++ b/tests/live/NodeFaultTest.cpp
@@ -15,7 +15,10 @@
 
 namespace {
 
+constexpr absl::Duration LeaderLease = absl::Milliseconds(800);
 constexpr absl::Duration ReadLease = absl::Seconds(3);
+/// Time in which bytes that a relay has already read may still arrive.
+constexpr absl::Duration RelayTurn = absl::Milliseconds(200);
 constexpr std::size_t Learner = 4;
 
 /// Waits for `Count` more whole answers to background callers.
@@ -126,6 +129,41 @@
   concludeScenario(Cluster, Load);
 }
 
+// Guards against two leaders that both commit, a cut-off node that takes work
+// after its read lease, and open streams that end with the lease.
+TEST_CASE("the leader is cut off by connections that pass no bytes") {
+  LiveCluster Cluster(true);
+  REQUIRE(Cluster.form());
+  LiveLoad Load(Cluster);
+  REQUIRE(servesMore(Load, 20));
+  std::optional<std::size_t> Leader = Cluster.waitForLeader();
+  REQUIRE(Leader);
+  auto Open = startChat(Cluster, *Leader, "open-at-the-cut", 1000);
+  REQUIRE(eventually(PatientLimit,
+                     [&] { return hasRun(Cluster, "open-at-the-cut"); }));
+  Cluster.isolate(*Leader, true);
+  // A leader grants itself read leases while it holds its leader lease. No
+  // other leader can commit in that time.
+  Instant LeaseOver = monotonicNow() + LeaderLease + ReadLease + RelayTurn;
+  REQUIRE(Cluster.waitForLeader(*Leader));
+  absl::SleepFor(LeaseOver - monotonicNow());
+  CHECK_FALSE(Cluster.ready(*Leader));
+  for (int Number = 0; Number < 5; ++Number) {
+    CallerRecord Told = sendChat(Cluster, *Leader,
+                                 fmt::format("sent-to-cut-off-{}", Number), 10);
+    CHECK(Told.m_status == 503);
+    CHECK(Told.m_outcome == "not_run");
+    Load.add(Told);
+  }
+  CallerRecord Whole = Open.get();
+  CHECK(Whole.m_whole);
+  Load.add(Whole);
+  Cluster.isolate(*Leader, false);
+  REQUIRE(eventually(PatientLimit, [&] { return Cluster.ready(*Leader); }));
+  REQUIRE(servesMore(Load, 20));
+  concludeScenario(Cluster, Load);
+}
+
 // Guards against a voter that counts under its old identity without its log,
 // and against one that never counts again.
 TEST_CASE("a voter loses its data directory and votes again") {
--- a/tests/live/Relay.h
+++ b/tests/live/Relay.h
@@ -2,14 +2,16 @@
 
 #include <atomic>
 #include <list>
+#include <optional>
 #include <string>
 #include <thread>
 
 #include "turmericdyke/src/Peer/Sockets.h"
 
-/// Passes bytes between its own loopback address and another one. While it is
-/// cut it passes nothing, on connections that exist and on new ones, and closes
-/// none of them. After `heal` the bytes that waited arrive.
+/// Passes bytes from nodes to the peer address of another node. Bytes from and
+/// to a node that is cut off wait, on connections that exist and on new ones;
+/// none is closed. When it is healed, the bytes that
+/// waited arrive.
 class Relay {
 public:
   explicit Relay(std::string To);
@@ -17,25 +19,29 @@
   Relay(const Relay &) = delete;
   Relay &operator=(const Relay &) = delete;
 
+  /// Where the nodes connect to.
   const std::string &address() const { return m_address; }
-  void cut() { m_cut = true; }
-  void heal() { m_cut = false; }
+  /// Cuts off exactly the nodes whose index is a set bit of `Sources`.
+  void cut(unsigned Sources) { m_cut = Sources; }
 
 private:
   struct Link {
     turmericdyke::internal::Descriptor m_client;
     turmericdyke::internal::Descriptor m_server;
+    /// Index of the node that connected; nothing passes until it is known.
+    std::optional<unsigned> m_source;
     bool m_closed = false;
   };
 
   void run();
   void step(std::list<Link> &Links);
-  static void pass(Link &Over, int From, int To);
+  void accept(std::list<Link> &Links);
+  bool isCut(const Link &Each) const;
 
   std::string m_to;
   turmericdyke::internal::Descriptor m_listener;
   std::string m_address;
-  std::atomic<bool> m_cut{false};
+  std::atomic<unsigned> m_cut{0};
   std::atomic<bool> m_stop{false};
   std::thread m_thread;
 };
