--- a/packages/membership/bench/MembershipBench.cpp
+++ b/packages/membership/bench/MembershipBench.cpp
@@ -95,7 +95,7 @@
       "first_max_s={:.1f} all_median_s={:.1f} all_max_s={:.1f} "
       "false_deaths={} suspicions_of_live={} in {} node-minutes\n",
       Nodes, Loss, absl::ToDoubleSeconds(Pause), First[5], First[9], All[5],
-      All[9], False, Suspicions, 10 * 2 * Nodes);
+      All[9], False, Suspicions, 20 * Nodes);
 }
 
 /// Bytes that one of nine nodes sends to its eight peers, with load that
@@ -177,11 +177,11 @@
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   for (std::size_t Nodes : {9, 50, 100, 500, 1000})
     swimCost(Nodes);
+  for (std::size_t Targets : {60, 600, 2500})
+    for (bool LoadChanges : {false, true})
+      digests(Targets, LoadChanges);
   for (std::size_t Nodes : {9, 50, 100})
     for (double Loss : {0.0, 0.05, 0.2})
       for (int Pause : {0, 1})
         detection(Nodes, Loss, absl::Seconds(Pause));
-  for (std::size_t Targets : {60, 600, 2500})
-    for (bool LoadChanges : {false, true})
-      digests(Targets, LoadChanges);
 }
--- a/packages/membership/test/NodeMembershipTest.cpp
+++ b/packages/membership/test/NodeMembershipTest.cpp
@@ -101,6 +101,33 @@
   CHECK(DeclaredByPaused == 0);
 }
 
+TEST_CASE("a probe and a suspicion that ran out during a pause of this node "
+          "count against nobody") {
+  std::mt19937_64 Random(1);
+  Instant Now = absl::UnixEpoch() + absl::Hours(1);
+  NodeMembershipOptions Options;
+  Options.m_node = NodeId("a");
+  Options.m_address = "a:1";
+  NodeMembership Membership(Options, Now);
+  SwimMessage Message;
+  Message.m_from = NodeId("b");
+  Message.m_address = "b:1";
+  Message.m_incarnation = 5;
+  Membership.handle(Now, Message, Random);
+  Membership.tick(Now, Random);
+  Now += absl::Seconds(10);
+  Membership.tick(Now, Random);
+  CHECK(Membership.stateOf(NodeId("b")) == NodeState::Alive);
+  while (Membership.stateOf(NodeId("b")) == NodeState::Alive)
+    Membership.tick(Now += absl::Milliseconds(100), Random);
+  Now += absl::Seconds(30);
+  Membership.tick(Now, Random);
+  CHECK(Membership.stateOf(NodeId("b")) == NodeState::Suspect);
+  Message.m_incarnation = 6;
+  Membership.handle(Now, Message, Random);
+  CHECK(Membership.stateOf(NodeId("b")) == NodeState::Alive);
+}
+
 TEST_CASE("the halves of a partition find each other again after it heals, "
           "long after they held each other dead") {
   SwimSimulation Simulation(8);
--- a/packages/membership/turmericdyke/src/Membership/NodeMembership.cpp
+++ b/packages/membership/turmericdyke/src/Membership/NodeMembership.cpp
@@ -387,11 +387,12 @@
   std::optional<NodeId> Target = nextTarget(Random);
   if (!Target)
     return;
-  m_probe.emplace();
-  m_probe->m_target = *Target;
-  m_probe->m_sequence = ++m_sequence;
-  m_probe->m_indirectAt = Now + m_options.m_probeTimeout * Stretch;
-  m_probe->m_endsAt = m_nextPeriod;
+  Probe Next;
+  Next.m_target = *Target;
+  Next.m_sequence = ++m_sequence;
+  Next.m_indirectAt = Now + m_options.m_probeTimeout * Stretch;
+  Next.m_endsAt = m_nextPeriod;
+  m_probe = Next;
   send(*Target, m_members[*Target].m_update.m_address,
        message(SwimKind::Ping, m_probe->m_sequence));
 }
--- a/packages/membership/turmericdyke/src/Membership/NodeMembership.h
+++ b/packages/membership/turmericdyke/src/Membership/NodeMembership.h
@@ -30,7 +30,9 @@
   /// How long a dead or departed node is remembered.
   absl::Duration m_deadRetention = absl::Minutes(10);
   std::size_t m_maxMembers = 4096;
-  std::size_t m_maxPiggyback = 8;
+  /// With 8, suspicions and refutations of 100 nodes at 20 % loss did not
+  /// spread in time, and live nodes were declared dead.
+  std::size_t m_maxPiggyback = 32;
   /// Calls that come further apart mean that this process was paused.
   absl::Duration m_pauseThreshold = absl::Seconds(1);
 };
