--- a/packages/fleet/turmericdyke/src/Fleet/TargetDigest.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/TargetDigest.cpp
@@ -7,6 +7,8 @@
 namespace internal {
 namespace {
 
+constexpr std::size_t MaxDigestCacheEvents = 1024;
+
 void readDigestEntry(const nlohmann::json &Value, DigestEntry &Entry,
                      JsonReader &Outer) {
   JsonReader Reader(Value);
@@ -40,6 +42,67 @@
     readDigestEntry((*Found)[Index], Digest.m_entries[Index], Reader);
 }
 
+/// Loads are lists without names because they make up most of a digest; a
+/// newer version may append to them.
+nlohmann::json loadJson(const DigestLoad &Load) {
+  nlohmann::json Events = nlohmann::json::array();
+  for (const CacheEvent &Event : Load.m_cacheEvents)
+    Events.push_back({Event.m_sequence, Event.m_prefixHash, Event.m_evicted});
+  const TargetLoad &Value = Load.m_load;
+  return {Load.m_slot,
+          Load.m_sequence,
+          Value.m_running,
+          Value.m_waiting,
+          Value.m_runningLong,
+          Value.m_lagMs,
+          Value.m_tokensPerSecond,
+          std::move(Events)};
+}
+
+bool readCacheEvent(const nlohmann::json &Value, CacheEvent &Event) {
+  if (!Value.is_array() || Value.size() < 3 || !Value[0].is_number_unsigned() ||
+      !Value[1].is_number_unsigned() || !Value[2].is_boolean())
+    return false;
+  Event = {Value[0].get<std::uint64_t>(), Value[1].get<std::uint64_t>(),
+           Value[2].get<bool>()};
+  return true;
+}
+
+bool readLoad(const nlohmann::json &Value, DigestLoad &Load) {
+  if (!Value.is_array() || Value.size() < 8 || !Value[7].is_array() ||
+      Value[7].size() > MaxDigestCacheEvents)
+    return false;
+  for (std::size_t Index = 0; Index < 6; ++Index)
+    if (!Value[Index].is_number_integer())
+      return false;
+  if (!Value[0].is_number_unsigned() || !Value[1].is_number_unsigned() ||
+      !Value[6].is_number())
+    return false;
+  Load.m_slot = Value[0].get<std::uint64_t>();
+  Load.m_sequence = Value[1].get<std::uint64_t>();
+  Load.m_load = {Value[2].get<std::int64_t>(), Value[3].get<std::int64_t>(),
+                 Value[4].get<std::int64_t>(), Value[6].get<double>(),
+                 Value[5].get<std::int64_t>()};
+  Load.m_cacheEvents.resize(Value[7].size());
+  for (std::size_t Index = 0; Index < Value[7].size(); ++Index)
+    if (!readCacheEvent(Value[7][Index], Load.m_cacheEvents[Index]))
+      return false;
+  return true;
+}
+
+void readLoads(const nlohmann::json &Value, TargetDigest &Digest,
+               JsonReader &Reader) {
+  auto Found = Value.find("loads");
+  if (Found == Value.end())
+    return;
+  if (!Found->is_array() || Found->size() > MaxDigestEntries)
+    return Reader.fail("loads", "is not a list of at most 4096 loads");
+  Digest.m_loads.resize(Found->size());
+  for (std::size_t Index = 0; Index < Found->size(); ++Index)
+    if (!readLoad((*Found)[Index], Digest.m_loads[Index]))
+      return Reader.fail("loads", "has a malformed load");
+}
+
 void readAges(const nlohmann::json &Value, TargetDigest &Digest,
               JsonReader &Reader) {
   auto Found = Value.find("ages");
@@ -71,6 +134,8 @@
   if (!Digest.m_ages.empty())
     Value["ages"] = nlohmann::json::binary(
         std::vector<std::uint8_t>(Digest.m_ages.begin(), Digest.m_ages.end()));
+  for (const DigestLoad &Load : Digest.m_loads)
+    Value["loads"].push_back(internal::loadJson(Load));
   if (Digest.m_entries.empty())
     return Value;
   nlohmann::json &Entries = Value["entries"] = nlohmann::json::array();
@@ -98,6 +163,7 @@
     Reader.fail("echo_held_us", "is negative");
   if (!Reader.error()) {
     internal::readDigestEntries(Value, Read, Reader);
+    internal::readLoads(Value, Read, Reader);
     internal::readAges(Value, Read, Reader);
   }
   if (Reader.error())
--- a/packages/fleet/turmericdyke/src/Fleet/TargetDigest.h
+++ b/packages/fleet/turmericdyke/src/Fleet/TargetDigest.h
@@ -25,8 +25,17 @@
   TargetAnnouncement m_announcement;
 };
 
+/// A newer load of a target whose other fields are as last sent.
+struct DigestLoad {
+  std::uint64_t m_slot = 0;
+  /// Sequence of the announcement that carried the load.
+  std::uint64_t m_sequence = 0;
+  TargetLoad m_load;
+  std::vector<CacheEvent> m_cacheEvents;
+};
+
 /// What one node tells another about the targets it vouches for: the changed
-/// ones in full, and the age of all by slot.
+/// ones in full, changed loads, and the age of all by slot.
 struct TargetDigest {
   NodeId m_from;
   /// Incarnation of the sending process.
@@ -48,6 +57,7 @@
   std::int64_t m_echoHeldUs = 0;
   std::uint64_t m_echoIncarnation = 0;
   std::vector<DigestEntry> m_entries;
+  std::vector<DigestLoad> m_loads;
   /// One byte a slot: age in units of 20 ms, rounded up; 255 when the slot is
   /// unused or its age does not fit.
   std::string m_ages;
--- a/packages/membership/test/TargetDirectoryTest.cpp
+++ b/packages/membership/test/TargetDirectoryTest.cpp
@@ -162,7 +162,7 @@
   Three.run(absl::Seconds(1));
   Three.announce(0, announcement("t", 1, 1));
   Three.deliverAll();
-  int Entries = 0;
+  int Entries = 0, Loads = 0;
   for (std::uint64_t Sequence = 2; Sequence < 22; ++Sequence) {
     TargetAnnouncement Loaded = announcement("t", 1, Sequence);
     Loaded.m_load.m_running = static_cast<std::int64_t>(Sequence);
@@ -170,13 +170,16 @@
     Three.m_now += absl::Milliseconds(500);
     Three.tick();
     for (const DigestSend &Send : Three.m_underWay)
-      Entries += Send.m_to == NodeId("1")
-                     ? static_cast<int>(Send.m_digest.m_entries.size())
-                     : 0;
+      if (Send.m_to == NodeId("1")) {
+        Entries += static_cast<int>(Send.m_digest.m_entries.size());
+        Loads += static_cast<int>(Send.m_digest.m_loads.size());
+      }
     Three.deliverAll();
   }
-  CHECK(Entries <= 11);
-  CHECK(Entries >= 9);
+  CHECK(Entries == 0);
+  CHECK(Loads <= 11);
+  CHECK(Loads >= 9);
+  CHECK(Three.find(1, "t")->m_announcement->m_load.m_running >= 20);
   TargetAnnouncement Leaving = announcement("t", 1, 22);
   Leaving.m_state = TargetState::Leaving;
   Three.announce(0, Leaving);
--- a/packages/membership/turmericdyke/src/Membership/TargetDirectory.cpp
+++ b/packages/membership/turmericdyke/src/Membership/TargetDirectory.cpp
@@ -192,7 +192,12 @@
         Local.m_loadChanged && Now - Local.m_sentAt >= m_options.m_loadInterval;
     if (!Local.m_changed && !LoadDue)
       continue;
-    Digest.m_entries.push_back(entryOf(Now, Local));
+    if (Local.m_changed)
+      Digest.m_entries.push_back(entryOf(Now, Local));
+    else
+      Digest.m_loads.push_back({*Local.m_slot, Local.m_announcement->m_sequence,
+                                Local.m_announcement->m_load,
+                                Local.m_unsentEvents});
     Local.m_changed = false;
     Local.m_loadChanged = false;
     Local.m_sentAt = Now;
@@ -283,8 +288,10 @@
   Instant Sent = sentNotBefore(Now, Digest);
   for (const DigestEntry &Entry : Digest.m_entries)
     applyEntry(Now, Sent, Digest, Entry, *From);
-  if (From->m_synced)
+  if (From->m_synced) {
+    applyLoads(Digest, *From);
     return applyAges(Now, Sent, Digest, *From);
+  }
   ++m_counts.m_gaps;
   requestFull(Now, Digest.m_from, *From);
 }
@@ -327,6 +334,23 @@
   ++m_counts.m_accepted;
 }
 
+void TargetDirectory::applyLoads(const TargetDigest &Digest, const Peer &From) {
+  for (const DigestLoad &Load : Digest.m_loads) {
+    if (Load.m_slot >= From.m_slots.size())
+      continue;
+    auto Found = m_targets.find(From.m_slots[Load.m_slot]);
+    if (Found == m_targets.end() || Found->second.m_voucher != Digest.m_from ||
+        Found->second.m_announcement->m_sequence >= Load.m_sequence)
+      continue;
+    auto New =
+        std::make_shared<TargetAnnouncement>(*Found->second.m_announcement);
+    New->m_sequence = Load.m_sequence;
+    New->m_load = Load.m_load;
+    New->m_cacheEvents = Load.m_cacheEvents;
+    Found->second.m_announcement = std::move(New);
+  }
+}
+
 void TargetDirectory::applyAges(Instant Now, Instant Sent,
                                 const TargetDigest &Digest, const Peer &From) {
   std::size_t Count = std::min(Digest.m_ages.size(), From.m_slots.size());
--- a/packages/membership/turmericdyke/src/Membership/TargetDirectory.h
+++ b/packages/membership/turmericdyke/src/Membership/TargetDirectory.h
@@ -126,6 +126,7 @@
   Instant sentNotBefore(Instant Now, const TargetDigest &Digest) const;
   void applyEntry(Instant Now, Instant Sent, const TargetDigest &Digest,
                   const DigestEntry &Entry, Peer &From);
+  void applyLoads(const TargetDigest &Digest, const Peer &From);
   void applyAges(Instant Now, Instant Sent, const TargetDigest &Digest,
                  const Peer &From);
   void requestFull(Instant Now, const NodeId &To, Peer &Of);
--- a/packages/peer/test/PeerMessagesTest.cpp
+++ b/packages/peer/test/PeerMessagesTest.cpp
@@ -20,6 +20,7 @@
   Digest.m_echoIncarnation = 4;
   Digest.m_echoUs = 5;
   Digest.m_ages = std::string("\x00\xff\x80", 3);
+  Digest.m_loads = {{1, 2, {3, 4, 5, 6.5, 7}, {{8, 9, true}}}};
   Digest.m_entries.resize(1);
   Digest.m_entries[0].m_slot = 2;
   Digest.m_entries[0].m_ageUs = 77;
