Fuzz all decision machines together, and fix three faults that this found

The oracle in tests/fuzz checks the invariants of the design on nodes, targets, callers and operators in virtual time. Found and fixed:

* An attempt that started after a wait (queue, retry, once-only commit) did not look at the read lease again.
* A node that was paused routed by the view from before the pause, and so sent work to targets that were silent for more than 3 s.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libabsl-dev libnghttp2-dev libboost-dev libcpp-httplib-dev libgflags-dev libfmt-dev doctest-dev \
   librapidcheck-dev nlohmann-json3-dev libyaml-cpp-dev libssl-dev
 
-.PHONY: deps build test format format-check lint check demo bench
+.PHONY: deps build test format format-check lint check demo bench fuzz
 
 deps:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -q && apt-get install -y -q --no-install-recommends $(PACKAGES))
@@ -29,3 +29,9 @@
 
 bench: build
 	$(BUILD)/bench/turmericdyke_bench
+
+# Stateful fuzz run of all decision machines; each seed is 25 cases.
+FUZZ_SECONDS ?= 600
+SEED ?= 1
+fuzz: build
+	FUZZ_SECONDS=$(FUZZ_SECONDS) SEED=$(SEED) $(BUILD)/tests/fuzz/fuzz_system --no-version=true -tc='all machines*'
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
@@ -158,7 +158,7 @@
   });
   m_server.Get("/readyz", [this](const auto &, auto &Response) {
     bool Ready =
-        !m_draining && monotonicNow() < m_services.m_views.get()->m_leaseUntil;
+        !m_draining && m_services.m_views.get()->mayStart(monotonicNow());
     Response.status = Ready ? 200 : 503;
     Response.set_content(Ready ? "ready\n" : "not ready\n", "text/plain");
   });
@@ -196,7 +196,7 @@
                            httplib::Response &Response) {
   Authenticated Caller;
   Caller.m_view = m_services.m_views.get();
-  if (monotonicNow() >= Caller.m_view->m_leaseUntil) {
+  if (!Caller.m_view->mayStart(monotonicNow())) {
     refuse({503, "no_lease", "this node does not know the newest revision",
             Outcome::NotRun, internal::RetryWithoutLease},
            Id, CustomerId(), Response);
--- a/packages/edge/turmericdyke/src/Edge/ClusterView.h
+++ b/packages/edge/turmericdyke/src/Edge/ClusterView.h
@@ -37,6 +37,11 @@
   std::string m_address;
 };
 
+/// A view older than this starts no work. Targets in it were at most 2.5 s
+/// silent when it was published, and a silent target gets no work after 3 s. A
+/// process that was paused would otherwise route by the view from before.
+constexpr absl::Duration ViewLifetime = absl::Milliseconds(400);
+
 /// What request threads read: an immutable snapshot that the control thread
 /// publishes.
 struct ClusterView {
@@ -46,8 +51,16 @@
   /// New work is accepted only before this time, see the read lease in the
   /// design.
   Instant m_leaseUntil = absl::InfinitePast();
+  Instant m_publishedAt = absl::InfinitePast();
   std::map<std::string, std::vector<ServingReplica>> m_pools;
   std::map<ServiceId, std::vector<ServiceEndpoint>> m_services;
+
+  /// Whether work may be sent to a target by this view. To be asked right
+  /// before each attempt: a request may have waited in a queue, for a retry or
+  /// for its once-only record.
+  bool mayStart(Instant Now) const {
+    return Now < m_leaseUntil && Now - m_publishedAt < ViewLifetime;
+  }
 };
 
 /// Holds the newest view. The lock covers the exchange of a pointer only.
--- a/packages/edge/turmericdyke/src/Edge/Exchange.cpp
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.cpp
@@ -44,6 +44,8 @@
 
 bool Exchange::startAttempt() {
   std::shared_ptr<const ClusterView> View = m_services.m_views.get();
+  if (!View->mayStart(monotonicNow()))
+    return false;
   m_attempt = AttemptId(m_services.nextId());
   m_replica =
       m_services.m_router.start(*View, m_call.m_pool, m_attempt, m_route);
--- a/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
+++ b/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
@@ -85,7 +85,7 @@
 ServiceHandler::endpoints(const ServiceId &Service) {
   std::shared_ptr<const ClusterView> View = m_services.m_views.get();
   auto Found = View->m_services.find(Service);
-  if (Found == View->m_services.end())
+  if (Found == View->m_services.end() || !View->mayStart(monotonicNow()))
     return {};
   std::vector<ServiceEndpoint> Endpoints = Found->second;
   std::size_t First = m_nextEndpoint++ % Endpoints.size();
--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -239,6 +239,7 @@
     m_output.m_events.push_back(std::move(Event));
   if (Actions.m_snapshot) {
     m_state = internal::restoreState(Actions.m_snapshot->m_data);
+    m_state.setTestHooks(m_hooks);
     m_snapshotIndex = Actions.m_snapshot->m_index;
     m_lease.applied(m_snapshotIndex);
     m_output.m_stateChanged = true;
@@ -315,6 +316,11 @@
   collect();
 }
 
+void ControlCore::setTestHooks(const internal::ControlTestHooks &Hooks) {
+  m_hooks = Hooks;
+  m_state.setTestHooks(Hooks);
+}
+
 ControlOutput ControlCore::takeOutput() {
   m_output.m_completions = m_submissions.takeCompletions();
   return std::exchange(m_output, {});
--- a/packages/node/turmericdyke/src/Node/ControlCore.h
+++ b/packages/node/turmericdyke/src/Node/ControlCore.h
@@ -73,6 +73,9 @@
   bool leads(Instant Now) const { return m_raft.holdsLeaderLease(Now); }
   Instant leaseUntil() const { return m_lease.validUntil(); }
 
+  /// For tests only; kept when a snapshot replaces the state.
+  void setTestHooks(const internal::ControlTestHooks &Hooks);
+
 private:
   void onPeer(Instant, const NodeId &, const RaftMessage &, absl::BitGenRef);
   void onPeer(Instant, const NodeId &, const ReadLeaseRequest &,
@@ -108,6 +111,7 @@
   Instant m_nextVoterStep = absl::InfinitePast();
   std::uint64_t m_snapshotIndex = 0;
   bool m_snapshotPending = false;
+  internal::ControlTestHooks m_hooks;
 };
 
 } // namespace turmericdyke
--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -273,9 +273,13 @@
 }
 
 void ControlLoop::turn() {
-  while (m_core->hasActions())
-    persistActions();
-  deliver(m_core->takeOutput());
+  // A written snapshot is an event too: the leader may then have to send it to
+  // a follower, and the next message must not find that undone.
+  do {
+    while (m_core->hasActions())
+      persistActions();
+    deliver(m_core->takeOutput());
+  } while (m_core->hasActions());
 }
 
 void ControlLoop::persistActions() {
@@ -372,6 +376,7 @@
   if (State.declaration())
     View->m_declaration = State.declaration();
   View->m_leaseUntil = m_core->leaseUntil();
+  View->m_publishedAt = Now;
   m_fleet->fillView(Now, State, *View);
   m_services.m_gate.configure(Now, *View);
   setSlots(Now, *View);
--- a/packages/node/turmericdyke/src/Node/FleetSide.cpp
+++ b/packages/node/turmericdyke/src/Node/FleetSide.cpp
@@ -174,6 +174,7 @@
   if (!m_leadership) {
     m_leadership.emplace();
     m_leadership->m_since = Now;
+    m_leadership->m_planner.setTestHooks(m_hooks);
   }
   if (m_leadership->m_openCommands == 0 && State.declaration()) {
     Plan Made = plan(Now, State);
--- a/packages/node/turmericdyke/src/Node/FleetSide.h
+++ b/packages/node/turmericdyke/src/Node/FleetSide.h
@@ -74,6 +74,11 @@
                   nlohmann::json &Status) const;
   const TargetDirectoryCounts &counts() const { return m_directory.counts(); }
 
+  /// For tests only; applies to planners of later leaderships.
+  void setTestHooks(const internal::PlannerTestHooks &Hooks) {
+    m_hooks = Hooks;
+  }
+
 private:
   /// Exists while this node leads.
   struct Leadership {
@@ -106,6 +111,7 @@
   std::map<NodeId, PeerFacts> m_peers;
   Instant m_observingSince;
   std::optional<Leadership> m_leadership;
+  internal::PlannerTestHooks m_hooks;
 };
 
 } // namespace turmericdyke
--- /dev/null
+++ b/tests/fuzz/SimNode.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "FuzzOptions.h"
+#include "turmericdyke/src/Node/ControlCore.h"
+#include "turmericdyke/src/Node/FleetSide.h"
+
+namespace turmericdyke::fuzz {
+
+/// What a node does to the world.
+struct NodeHooks {
+  std::function<void(const AddressedMessage &)> m_send;
+  std::function<void(const AddressedOrder &)> m_order;
+  /// A new view was published.
+  std::function<void()> m_published;
+};
+
+/// The shell of a node in memory, with the steps of `ControlLoop` in the same
+/// order. Its clock has an epoch of its own.
+class SimNode {
+public:
+  SimNode(const FuzzOptions &Options, std::size_t Index, bool IsVoter,
+          NodeHooks Hooks);
+
+  static NodeId nameOf(std::size_t Index);
+  static VoterSet firstVoters();
+
+  void start(Instant Now, std::mt19937_64 &Random);
+  void crash();
+  /// The data directory is replaced by a new one; only while the node is down.
+  void loseData();
+  void tick(Instant Now, std::mt19937_64 &Random);
+  void receive(Instant Now, const NodeId &From, const CoreMessage &Message,
+               std::mt19937_64 &Random);
+  bool announce(Instant Now, const TargetAnnouncement &Said);
+  void submit(Instant Now, const Command &Value,
+              std::function<void(const Completion &)> Done);
+  void handOver(Instant Now);
+
+  Instant clock(Instant Now) const { return Now + m_epoch; }
+  bool isUp() const { return m_core.has_value(); }
+  bool holdsLease(Instant Now) const {
+    return isUp() && clock(Now) < m_core->leaseUntil();
+  }
+  const ControlCore &core() const { return *m_core; }
+  std::uint64_t incarnation() const { return m_incarnation; }
+  const std::string &identity() const { return m_disk.m_identity; }
+  std::shared_ptr<const ClusterView> view() const { return m_view; }
+
+private:
+  void turn(Instant Now);
+  void persist(const RaftActions &Actions);
+  void deliver(Instant Now, ControlOutput Output);
+  void stepFleet(Instant Now, std::mt19937_64 &Random);
+  void publish(Instant Now);
+
+  FuzzOptions m_options;
+  NodeId m_id;
+  std::size_t m_index;
+  bool m_isVoter;
+  NodeHooks m_hooks;
+  absl::Duration m_epoch;
+  /// Synced state; all that is left after a crash.
+  PersistentState m_disk;
+  int m_directories = 0;
+  std::uint64_t m_incarnation = 0;
+  std::optional<ControlCore> m_core;
+  std::optional<FleetSide> m_fleet;
+  std::set<std::uint64_t> m_fleetTickets;
+  std::map<std::uint64_t, std::function<void(const Completion &)>> m_waiters;
+  Instant m_nextFleetStep = absl::InfinitePast();
+  std::shared_ptr<const ClusterView> m_view;
+};
+
+} // namespace turmericdyke::fuzz
