--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,9 @@
 
 demo: build
 	BUILD=$(BUILD) scripts/demo.sh
+
+# Stateful fuzz run of all decision machines; each seed is 25 cases.
+FUZZ_SECONDS ?= 600
+SEED ?= 1
+fuzz: build
+	FUZZ_SECONDS=$(FUZZ_SECONDS) SEED=$(SEED) $(BUILD)/tests/fuzz/fuzz_system --no-version=true -tc='all machines*'
