Compare member tables with live nodes also while a dead node is remembered

Two nodes that had missed each other's arrival never met as long as any dead node was known, because contacts then went to the dead one only.

--- a/packages/membership/turmericdyke/src/Membership/NodeMembership.cpp
+++ b/packages/membership/turmericdyke/src/Membership/NodeMembership.cpp
@@ -23,9 +23,10 @@
 constexpr std::size_t MaxRelays = 256;
 /// A departing node tells this many others itself.
 constexpr std::size_t LeaveMessages = 16;
-/// With no seed or dead node to contact, every sixth contact compares tables
-/// with a live node, which repairs changes that piggybacking missed.
-constexpr int ContactsPerComparison = 6;
+/// Every second contact also compares tables with a live node, which repairs
+/// changes that piggybacking missed. This does not wait until no dead node is
+/// left to contact: two nodes missed each other for good while one was.
+constexpr int ContactsPerComparison = 2;
 
 } // namespace
 
@@ -444,9 +445,9 @@
   Request.m_tableHash = tableHash();
   if (!Addresses.empty()) {
     std::size_t Pick = absl::Uniform<std::size_t>(Random, 0, Addresses.size());
-    return send({}, Addresses[Pick], std::move(Request));
+    send({}, Addresses[Pick], Request);
   }
-  if (Live.empty() || ++m_quietContacts % ContactsPerComparison != 0)
+  if (Live.empty() || ++m_contacts % ContactsPerComparison != 0)
     return;
   const NodeId &To = Live[absl::Uniform<std::size_t>(Random, 0, Live.size())];
   send(To, m_members[To].m_update.m_address, std::move(Request));
--- a/packages/membership/turmericdyke/src/Membership/NodeMembership.h
+++ b/packages/membership/turmericdyke/src/Membership/NodeMembership.h
@@ -147,7 +147,7 @@
   Instant m_lastCall;
   Instant m_nextPeriod;
   Instant m_nextContact;
-  int m_quietContacts = 0;
+  int m_contacts = 0;
   MembershipActions m_actions;
 };
 
