Let a request wait for a lease where a node has none yet

Cause: on a node that holds no lease of a pool, the predicted wait was infinite, so its first requests were refused as not run.

Change: where there is something to lease, the wait is assumed to be 500 ms, two requests for a lease; the queued request is the demand that brings it.

--- a/packages/admission/test/AdmissionControllerTest.cpp
+++ b/packages/admission/test/AdmissionControllerTest.cpp
@@ -495,3 +495,14 @@
     O.drain();
   }));
 }
+
+TEST_CASE(
+    "a node without a lease lets requests wait for it instead of refusing "
+    "them, but refuses where there is nothing to lease") {
+  AdmissionController A = controller(0, {customer("a", 2, 4)});
+  CHECK(A.offer(at(0), request(1, "a")).m_outcome == Refused);
+  A.setLeaseable(true);
+  CHECK(A.offer(at(0), request(2, "a")).m_outcome == Queued);
+  A.setSlots(at(200), 1);
+  CHECK(admitted(A) == std::vector<RequestId>{id(2)});
+}
--- a/packages/admission/turmericdyke/src/Admission/AdmissionController.cpp
+++ b/packages/admission/turmericdyke/src/Admission/AdmissionController.cpp
@@ -258,7 +258,8 @@
   Slots = std::max(Slots, static_cast<double>(std::min(Share.m_held, Usable)));
   Slots = std::min(Slots, static_cast<double>(Share.m_limit));
   if (Slots <= 0)
-    return absl::InfiniteDuration();
+    return m_leaseable && C.m_declared.m_limit > 0 ? m_options.m_leaseWait
+                                                   : absl::InfiniteDuration();
   const EntryList &Queue = C.m_queues[IsLong ? LongQueue : ShortQueue];
   double Ahead = static_cast<double>(Queue.size()) + 1;
   if (IsLong)
--- a/packages/admission/turmericdyke/src/Admission/AdmissionController.h
+++ b/packages/admission/turmericdyke/src/Admission/AdmissionController.h
@@ -31,6 +31,8 @@
   absl::Duration m_rankAgeing = absl::Seconds(1);
   /// Deadlines within the same multiple of this count as equal.
   absl::Duration m_deadlineStep = absl::Seconds(1);
+  /// Assumed time until the next lease: two of the node's requests for it.
+  absl::Duration m_leaseWait = absl::Milliseconds(500);
   /// Assumed before anything was measured.
   absl::Duration m_shortService = absl::Seconds(1);
   absl::Duration m_longService = absl::Seconds(10);
@@ -62,6 +64,9 @@
   /// Sets the requests that this node may run at a time. When it is lowered,
   /// running requests finish and none starts until the number is below it.
   void setSlots(Instant Now, std::int64_t Slots);
+  /// Whether this node may be leased slots and shares beyond what it has now.
+  /// If so, a request that finds none waits for the next lease.
+  void setLeaseable(bool Leaseable) { m_leaseable = Leaseable; }
   void setLongShare(Instant Now, double Share);
 
   /// The decision for a new request: started, queued or refused.
@@ -166,6 +171,7 @@
   AdmissionOptions m_options;
   YieldPolicy m_yieldPolicy;
   std::int64_t m_slots = 0;
+  bool m_leaseable = false;
   std::int64_t m_running = 0;
   std::int64_t m_runningLong = 0;
   std::int64_t m_queued = 0;
--- a/packages/edge/turmericdyke/src/Edge/AdmissionGate.cpp
+++ b/packages/edge/turmericdyke/src/Edge/AdmissionGate.cpp
@@ -61,9 +61,10 @@
 }
 
 void AdmissionGate::setSlots(Instant Now, const std::string &Pool,
-                             std::int64_t Slots) {
+                             std::int64_t Slots, std::int64_t Total) {
   Shard &Owner = findOrAdd(Pool);
   absl::MutexLock Lock(&Owner.m_lock);
+  Owner.m_controller.setLeaseable(Total > 0);
   if (Owner.m_controller.slots() == Slots)
     return;
   Owner.m_controller.setSlots(Now, Slots);
--- a/packages/edge/turmericdyke/src/Edge/AdmissionGate.h
+++ b/packages/edge/turmericdyke/src/Edge/AdmissionGate.h
@@ -18,8 +18,10 @@
   /// Brings customers and slots to what the view declares. Cheap when neither
   /// has changed.
   void configure(Instant Now, const ClusterView &View);
-  /// Sets the requests that this node may run at a time on a pool.
-  void setSlots(Instant Now, const std::string &Pool, std::int64_t Slots);
+  /// Sets the requests that this node may run at a time on a pool, of `Total`
+  /// that all nodes together may run.
+  void setSlots(Instant Now, const std::string &Pool, std::int64_t Slots,
+                std::int64_t Total);
   /// Sets the part of a customer's capacity that this node leases.
   void setShare(Instant Now, const std::string &Pool,
                 const CustomerId &Customer, CustomerShare Share);
--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -416,7 +416,7 @@
   sendAll(m_quota->step(Now, Input));
   QuotaShares Shares = m_quota->shares(Now, Input);
   for (const auto &[Pool, Slots] : Shares.m_slots)
-    m_services.m_gate.setSlots(Now, Pool, Slots);
+    m_services.m_gate.setSlots(Now, Pool, Slots, Input.m_slots.at(Pool));
   for (const auto &[Id, Share] : Shares.m_customers) {
     const Customer &Settings = View.m_declaration->m_customers.at(Id);
     m_services.m_gate.setShare(Now, poolName(Settings.m_resolved), Id, Share);
