--- a/tests/live/TargetFaultTest.cpp
+++ b/tests/live/TargetFaultTest.cpp
@@ -93,8 +93,8 @@
   for (const char *Fault :
        {FaultText::EarlyEnd, FaultText::Silent, FaultText::Crossed}) {
     CallerRecord Told = sendChat(Cluster, 3, Fault, 10);
-    CHECK_MESSAGE(!Told.m_whole, Fault);
-    CHECK_MESSAGE(Told.m_outcome == "may_have_run", Fault);
+    CHECK_MESSAGE(!Told.m_whole, std::string(Fault));
+    CHECK_MESSAGE(Told.m_outcome == "may_have_run", std::string(Fault));
     Load.addChat(Told);
   }
   for (std::size_t Node = 0; Node < NodeCount; ++Node)
