--- a/tests/fuzz/SystemFuzzTest.cpp
+++ b/tests/fuzz/SystemFuzzTest.cpp
@@ -97,7 +97,7 @@
         runSeed(Options, Seed, CasesPerSeed, std::chrono::seconds(0));
     if (!Done.m_passed) {
       std::cout << Guard << ": "
-                << Done.m_message.substr(0, Done.m_message.find("\n")) << "\n";
+                << Done.m_message.substr(0, Done.m_message.find('\n')) << "\n";
       return true;
     }
   }
--- a/tests/fuzz/World.cpp
+++ b/tests/fuzz/World.cpp
@@ -411,7 +411,7 @@
   send(Value, *View, {Value->m_target}, AnswerShape::Plain);
 }
 
-void World::send(CallPtr Value, const ClusterView &View,
+void World::send(const CallPtr &Value, const ClusterView &View,
                  const std::vector<std::size_t> &Members, AnswerShape Shape) {
   m_oracle.workStarted(m_now, Value->m_node, View, Members);
   if (Value->m_attempt.empty())
@@ -440,7 +440,7 @@
          "data: [DONE]\n\n";
 }
 
-void World::serve(CallPtr Value) {
+void World::serve(const CallPtr &Value) {
   AnswerHead Head;
   Head.m_status = 200;
   Head.m_attempt = Value->m_attempt;
@@ -489,7 +489,7 @@
 
 void World::answer(
     const CallPtr &Value, absl::Duration Delay,
-    std::function<AttemptActions(AttemptMachine &, Instant)> Event) {
+    const std::function<AttemptActions(AttemptMachine &, Instant)> &Event) {
   std::size_t Target = actorOf(Value->m_target);
   std::uint64_t Life = m_actors[Target].m_life;
   deliver(Value->m_node, Delay, [this, Value, Target, Life, Event] {
--- a/tests/fuzz/World.h
+++ b/tests/fuzz/World.h
@@ -114,11 +114,12 @@
   void startCompletion(std::size_t Node);
   void callOnce(std::size_t Node, const std::string &Key);
   void callBegun(std::size_t Node, const BeginOnceOnly &Begun, bool Recorded);
-  void send(CallPtr Value, const ClusterView &View,
+  void send(const CallPtr &Value, const ClusterView &View,
             const std::vector<std::size_t> &Members, AnswerShape Shape);
-  void serve(CallPtr Value);
-  void answer(const CallPtr &Value, absl::Duration Delay,
-              std::function<AttemptActions(AttemptMachine &, Instant)> Event);
+  void serve(const CallPtr &Value);
+  void
+  answer(const CallPtr &Value, absl::Duration Delay,
+         const std::function<AttemptActions(AttemptMachine &, Instant)> &Event);
   void perform(const CallPtr &Value, const AttemptActions &Actions);
   std::string wholeAnswer(const Call &Value) const;
   std::size_t actorOf(std::size_t Target) const {
