Test that a crashing request takes down two replicas at most

A stand-in target can now crash without ending its process. One caller sends a request that crashes targets through all five nodes, twice, with the replicas repaired in between.

--- a/packages/standin/turmericdyke/src/StandIn/StandInTarget.cpp
+++ b/packages/standin/turmericdyke/src/StandIn/StandInTarget.cpp
@@ -23,6 +23,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t ServerThreads = 64;
+constexpr int CrashExitCode = 70;
 constexpr absl::Duration SilenceLimit = absl::Seconds(30);
 constexpr absl::Duration PollInterval = absl::Milliseconds(20);
 
@@ -83,6 +84,8 @@
   ~Impl() { crash(); }
 
   void crash();
+  void stopServing();
+  bool crashesOn(const httplib::Request &Request, httplib::Response &Response);
   void announceLoop();
   bool announceOnce();
 
@@ -182,12 +185,33 @@
   m_announceThread = std::thread([this] { announceLoop(); });
 }
 
-void StandInTarget::Impl::crash() {
-  if (m_stopped.exchange(true))
-    return;
+void StandInTarget::Impl::stopServing() {
+  m_stopped = true;
   m_server.stop();
-  m_serverThread.join();
-  m_announceThread.join();
+}
+
+void StandInTarget::Impl::crash() {
+  stopServing();
+  if (m_serverThread.joinable())
+    m_serverThread.join();
+  if (m_announceThread.joinable())
+    m_announceThread.join();
+}
+
+bool StandInTarget::Impl::crashesOn(const httplib::Request &Request,
+                                    httplib::Response &Response) {
+  if (!internal::matches(Request.body, m_options.m_crashText))
+    return false;
+  LogLine(LogLevel::Error, "stand_in_crash")
+      .field("target", m_options.m_target);
+  if (m_options.m_crashExits)
+    std::_Exit(internal::CrashExitCode);
+  stopServing();
+  // The connection breaks before any of the answer was sent.
+  Response.set_content_provider(
+      1, "text/plain",
+      [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
+  return true;
 }
 
 void StandInTarget::Impl::announceLoop() {
@@ -378,11 +402,8 @@
   Response.set_header("X-Turmericdyke-Attempt", Attempt);
   if (refuses(Request, Response))
     return;
-  if (internal::matches(Request.body, m_options.m_crashText)) {
-    LogLine(LogLevel::Error, "stand_in_crash")
-        .field("target", m_options.m_target);
-    std::_Exit(70);
-  }
+  if (crashesOn(Request, Response))
+    return;
   internal::Json Body = internal::Json::parse(Request.body, nullptr, false);
   std::int64_t Tokens = m_options.m_tokens;
   if (Body.is_object() && Body.contains("max_tokens") &&
@@ -421,8 +442,8 @@
     Response.status = 404;
     return;
   }
-  if (internal::matches(Request.body, m_options.m_crashText))
-    std::_Exit(70);
+  if (crashesOn(Request, Response))
+    return;
   std::size_t Run = startRun(Request, Request.body);
   absl::SleepFor(m_options.m_tokenInterval);
   finishRun(Run, true);
@@ -447,6 +468,8 @@
 
 void StandInTarget::crash() { m_impl->crash(); }
 
+bool StandInTarget::crashed() const { return m_impl->m_stopped; }
+
 void StandInTarget::setAnnouncing(bool Announcing) {
   m_impl->m_announcing = Announcing;
 }
--- a/packages/standin/turmericdyke/src/StandIn/StandInTarget.h
+++ b/packages/standin/turmericdyke/src/StandIn/StandInTarget.h
@@ -33,6 +33,8 @@
   absl::Duration m_tokenInterval = absl::Milliseconds(5);
   std::int64_t m_tokens = 16;
   std::string m_crashText;
+  /// Whether a crash ends the process, or only this target.
+  bool m_crashExits = true;
   std::string m_earlyEndText;
   std::string m_silentText;
   std::string m_crossedText;
@@ -71,6 +73,8 @@
   std::string address() const;
   /// Stops announcing and serving at once, as a crash does.
   void crash();
+  /// Whether it has crashed.
+  bool crashed() const;
   /// Stops announcing only, as a paused target does.
   void setAnnouncing(bool Announcing);
   /// Announces that it leaves, at once.
--- a/tests/live/LiveCluster.cpp
+++ b/tests/live/LiveCluster.cpp
@@ -145,6 +145,8 @@
     Options.m_earlyEndText = FaultText::EarlyEnd;
     Options.m_silentText = FaultText::Silent;
     Options.m_crossedText = FaultText::Crossed;
+    Options.m_crashText = FaultText::Crash;
+    Options.m_crashExits = false;
     Options.m_echo = true;
     m_targets.push_back(std::make_unique<StandInTarget>(std::move(Options)));
   }
--- a/tests/live/LiveCluster.h
+++ b/tests/live/LiveCluster.h
@@ -42,6 +42,7 @@
   static constexpr const char *EarlyEnd = "please-end-early";
   static constexpr const char *Silent = "please-fall-silent";
   static constexpr const char *Crossed = "please-cross-answers";
+  static constexpr const char *Crash = "please-crash";
 };
 
 /// Five nodes as child processes (0 to 2 vote), seven model targets in one
--- a/tests/live/TargetFaultTest.cpp
+++ b/tests/live/TargetFaultTest.cpp
@@ -117,3 +117,36 @@
     }
   concludeScenario(Cluster, Load);
 }
+
+// Guards against a request that takes down one replica after the other while
+// its caller sends it again through every node.
+TEST_CASE("a request that crashes targets takes down two replicas at most") {
+  LiveCluster Cluster;
+  REQUIRE(Cluster.form());
+  auto Crashed = [&] {
+    return std::count_if(Cluster.targets().begin(), Cluster.targets().end(),
+                         [](const auto &Target) { return Target->crashed(); });
+  };
+  std::size_t Refused = 0;
+  // Between the rounds the replicas are repaired, so that the request has new
+  // ones to take down.
+  for (std::size_t Round = 0; Round < 2; ++Round) {
+    Members Dead;
+    for (const auto &Target : Cluster.targets())
+      if (Target->crashed())
+        Dead.push_back(Target->announcement().m_target.str());
+    REQUIRE(repaired(Cluster, Dead));
+    for (std::size_t Node = 0; Node < NodeCount; ++Node) {
+      CallerRecord Told = sendChat(Cluster, Node, FaultText::Crash, 4);
+      CHECK_FALSE(Told.m_whole);
+      Refused += Told.m_outcome == "not_run" ? 1 : 0;
+    }
+  }
+  CHECK(Crashed() >= 1);
+  CHECK(Crashed() <= 2);
+  CHECK(Refused >= NodeCount);
+  CHECK(eventually(PatientLimit, [&] {
+    return sendChat(Cluster, 0, "an innocent request", 4).m_whole;
+  }));
+  Cluster.passed();
+}
