--- a/tests/fuzz/FuzzOptions.h
+++ b/tests/fuzz/FuzzOptions.h
@@ -32,7 +32,8 @@
   bool m_skipOutcome = false;
   /// Routes by the first view of a replica for good.
   bool m_keepOldView = false;
-  BrokenGuard m_brokenGuard = BrokenGuard::None;
+  /// The lease of one voter is longer than the election timeout of the others.
+  bool m_longLease = false;
   internal::ControlTestHooks m_control;
   internal::PlannerTestHooks m_planner;
 };
--- a/tests/fuzz/Oracle.cpp
+++ b/tests/fuzz/Oracle.cpp
@@ -37,6 +37,15 @@
   checkHistory(State);
 }
 
+void Oracle::checkLeaders(Instant Now) {
+  auto Leaders =
+      std::count_if(m_nodes.begin(), m_nodes.end(), [Now](const auto &Node) {
+        return Node->isUp() && Node->core().leads(Node->clock(Now));
+      });
+  if (Leaders > 1)
+    fail(fmt::format("{} nodes hold the leader lease", Leaders));
+}
+
 void Oracle::checkReplica(Instant Now, const ControlState &State,
                           const ServingReplica &Serving) {
   ++m_counts["replica views"];
--- a/tests/fuzz/Oracle.h
+++ b/tests/fuzz/Oracle.h
@@ -23,6 +23,8 @@
 
   void nodeStarted(std::size_t Node) { m_checked.erase(Node); }
   void viewPublished(Instant Now, std::size_t Node);
+  /// At most one node holds the leader lease at any time.
+  void checkLeaders(Instant Now);
   /// A node sends work to a target; `Members` are all hosts that take part.
   void workStarted(Instant Now, std::size_t Node, const ClusterView &View,
                    const std::vector<std::size_t> &Members);
--- a/tests/fuzz/SimNode.cpp
+++ b/tests/fuzz/SimNode.cpp
@@ -58,7 +58,11 @@
   }
   Core.m_snapshotInterval = SnapshotInterval;
   Core.m_raft.m_retainedEntries = RetainedEntries;
-  Core.m_raft.m_brokenGuard = m_options.m_brokenGuard;
+  if (m_options.m_longLease && m_index == 0) {
+    Core.m_raft.m_leaderLease = absl::Seconds(5);
+    Core.m_raft.m_electionTimeoutMin = absl::Seconds(6);
+    Core.m_raft.m_electionTimeoutMax = absl::Seconds(7);
+  }
   m_fleet.emplace(std::move(Fleet), clock(Now));
   m_fleet->setTestHooks(m_options.m_planner);
   m_core.emplace(std::move(Core), m_disk, clock(Now), Random);
--- a/tests/fuzz/World.cpp
+++ b/tests/fuzz/World.cpp
@@ -183,6 +183,7 @@
         announce(Target);
     }
   countLosses();
+  m_oracle.checkLeaders(m_now);
   for (const CallPtr &Value : m_calls)
     if (Value->m_machine && active(Value->m_node))
       perform(Value, Value->m_machine->onTick(m_now));
