--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -36,8 +36,9 @@
 } // namespace
 } // namespace internal
 
-ControlCore::ControlCore(ControlCoreOptions Options, PersistentState State,
-                         Instant Now, absl::BitGenRef Random)
+ControlCore::ControlCore(ControlCoreOptions Options,
+                         const PersistentState &State, Instant Now,
+                         absl::BitGenRef Random)
     : m_options(std::move(Options)),
       m_raft(internal::raftOptions(m_options), State, Now, Random),
       m_state(internal::restoreState(State.m_snapshot.m_data)),
--- a/packages/node/turmericdyke/src/Node/ControlCore.h
+++ b/packages/node/turmericdyke/src/Node/ControlCore.h
@@ -46,8 +46,8 @@
 /// is reported with `storageFailed` instead of `finish`.
 class ControlCore {
 public:
-  ControlCore(ControlCoreOptions Options, PersistentState State, Instant Now,
-              absl::BitGenRef Random);
+  ControlCore(ControlCoreOptions Options, const PersistentState &State,
+              Instant Now, absl::BitGenRef Random);
 
   void onMessage(Instant Now, const NodeId &From, const CoreMessage &Message,
                  absl::BitGenRef Random);
--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -177,14 +177,14 @@
       State = bootstrapState(
           std::string(internal::VolatileIdentity),
           {{{m_settings.m_node, std::string(internal::VolatileIdentity)}}});
-    m_core.emplace(coreOptions(), std::move(State), monotonicNow(), m_random);
+    m_core.emplace(coreOptions(), State, monotonicNow(), m_random);
     turn();
     return true;
   }
   if (m_directory->isEmpty() && !bootstrapDirectory())
     return false;
   State = m_directory->load();
-  m_core.emplace(coreOptions(), std::move(State), monotonicNow(), m_random);
+  m_core.emplace(coreOptions(), State, monotonicNow(), m_random);
   turn();
   return true;
 }
--- a/packages/node/turmericdyke/src/Node/FleetSide.cpp
+++ b/packages/node/turmericdyke/src/Node/FleetSide.cpp
@@ -172,8 +172,7 @@
 void FleetSide::lead(Instant Now, const ControlState &State,
                      FleetOutput &Output) {
   if (!m_leadership) {
-    m_leadership.emplace();
-    m_leadership->m_since = Now;
+    m_leadership.emplace(Now);
     m_leadership->m_planner.setTestHooks(m_hooks);
   }
   if (m_leadership->m_openCommands == 0 && State.declaration()) {
@@ -205,6 +204,7 @@
 Plan FleetSide::plan(Instant Now, const ControlState &State) {
   std::vector<DirectoryView> Known = m_directory.snapshot(Now);
   std::vector<TargetView> Targets;
+  Targets.reserve(Known.size());
   for (const DirectoryView &Entry : Known)
     Targets.push_back({Entry.m_announcement.get(), Now - Entry.m_age});
   std::vector<PoolView> Pools = poolsOf(*State.declaration());
--- a/packages/node/turmericdyke/src/Node/FleetSide.h
+++ b/packages/node/turmericdyke/src/Node/FleetSide.h
@@ -82,6 +82,8 @@
 private:
   /// Exists while this node leads.
   struct Leadership {
+    explicit Leadership(Instant Since) : m_since(Since) {}
+
     Planner m_planner;
     Instant m_since;
     FenceBlock m_fences;
