Let a once-only key whose call did not run begin again; remove dead code

Change: a record whose owner states that the call never left gives its key free. A status query may report only that a call ran: one that is not found may still be on its way. The ledger's oracle now counts a key as begun until its owner states that it did not run.

Declared service paths are literal, so the matching of path parameters goes too.

--- a/packages/control/test/ControlStateFuzzTest.cpp
+++ b/packages/control/test/ControlStateFuzzTest.cpp
@@ -157,6 +157,11 @@
     if (std::get<OnceOnlyBegin>(Result).m_start == OnceOnlyStart::Begun)
       check(Observed.m_begun.insert(Begin->m_key).second,
             "a once-only key began twice");
+  // A key whose owner states that its call did not run may begin again.
+  if (const auto *Finish = std::get_if<FinishOnceOnly>(&m_command))
+    if (const auto *Done = std::get_if<OnceOnlyFinish>(&Result))
+      if (Done->m_record.m_outcome == OnceOnlyOutcome::NotRun)
+        Observed.m_begun.erase(Finish->m_key);
   checkOneAssignmentPerHost(Sut.m_state);
   Oracle After = Model;
   apply(After);
--- a/packages/control/test/ControlStateTest.cpp
+++ b/packages/control/test/ControlStateTest.cpp
@@ -157,6 +157,21 @@
   CHECK(Record.m_answerBody == "body");
 }
 
+TEST_CASE("a key whose call did not run may begin again, and one that may have "
+          "run may not, whatever a status query says") {
+  Fixture F;
+  CHECK(startOf(F, begin("k")) == OnceOnlyStart::Begun);
+  F.applyAs<OnceOnlyFinish>(finish("k", OnceOnlyOutcome::NotRun));
+  CHECK(startOf(F, begin("k", "other")) == OnceOnlyStart::OtherRequest);
+  CHECK(startOf(F, begin("k")) == OnceOnlyStart::Begun);
+  F.applyAs<OnceOnlyFinish>(finish("k", OnceOnlyOutcome::MayHaveRun));
+  FinishOnceOnly Query = finish("k", OnceOnlyOutcome::NotRun);
+  Query.m_fromStatusQuery = true;
+  Query.m_node = NodeId("n2");
+  F.applyAs<CommandRefused>(Query);
+  CHECK(startOf(F, begin("k")) == OnceOnlyStart::Known);
+}
+
 TEST_CASE("the open calls of a lost node may have run, and it begins no "
           "others, while its next incarnation does") {
   Fixture F;
--- a/packages/control/turmericdyke/src/Control/OnceOnlyLedger.cpp
+++ b/packages/control/turmericdyke/src/Control/OnceOnlyLedger.cpp
@@ -51,7 +51,14 @@
   if (Found != m_records.end() && !m_skipRecordCheck) {
     if (Found->second.m_requestDigest != Command.m_requestDigest)
       return {OnceOnlyStart::OtherRequest, {}};
-    return {OnceOnlyStart::Known, Found->second};
+    if (Found->second.m_outcome != OnceOnlyOutcome::NotRun)
+      return {OnceOnlyStart::Known, Found->second};
+    if (isLost(Command.m_node, Command.m_nodeIncarnation))
+      return {OnceOnlyStart::NodeIsLost, {}};
+    // The owner has stated that its call never left, so the key is free again.
+    m_byAge.erase({Found->second.m_begunAt, Digest});
+    m_storedBytes -= Found->second.m_answerBody.size();
+    m_records.erase(Found);
   }
   if (m_tombstones.contains(Digest) && !m_skipTombstoneCheck)
     return {OnceOnlyStart::Expired, {}};
@@ -84,9 +91,10 @@
   bool IsOwner = Record.m_node == Command.m_node &&
                  Record.m_nodeIncarnation == Command.m_nodeIncarnation &&
                  Record.m_attempt == Command.m_attempt;
-  // A status query before the owner is done could see a call that has not yet
-  // arrived and report that it did not run.
+  // A status query may see that a call ran, but not that it did not: the call
+  // may still be on its way.
   bool MayReport = Command.m_fromStatusQuery &&
+                   Command.m_outcome == OnceOnlyOutcome::Ran &&
                    Record.m_outcome == OnceOnlyOutcome::MayHaveRun;
   if (!IsOwner && !MayReport)
     return CommandRefused{CommandRefusalReason::NotOwner,
--- a/packages/edge/turmericdyke/src/Edge/ServiceRoute.cpp
+++ b/packages/edge/turmericdyke/src/Edge/ServiceRoute.cpp
@@ -1,11 +1,8 @@
 #include "turmericdyke/src/Edge/ServiceRoute.h"
 
-#include <vector>
-
 #include <fmt/format.h>
 
 #include "absl/strings/ascii.h"
-#include "absl/strings/str_split.h"
 #include "turmericdyke/src/Declaration/Declaration.h"
 
 namespace turmericdyke {
@@ -13,26 +10,6 @@
 namespace internal {
 namespace {
 
-std::vector<std::string> segments(std::string_view Path) {
-  return absl::StrSplit(absl::string_view(Path.data(), Path.size()), '/');
-}
-
-bool isParameter(const std::string &Segment) {
-  return Segment.size() > 2 && Segment.front() == '{' && Segment.back() == '}';
-}
-
-bool matches(std::string_view Declared, std::string_view Path) {
-  std::vector<std::string> Pattern = segments(Declared);
-  std::vector<std::string> Given = segments(Path);
-  if (Pattern.size() != Given.size())
-    return false;
-  for (std::size_t At = 0; At < Pattern.size(); ++At)
-    if (Pattern[At] != Given[At] &&
-        (!isParameter(Pattern[At]) || Given[At].empty()))
-      return false;
-  return true;
-}
-
 std::string percentEncode(std::string_view Text) {
   std::string Encoded;
   for (char C : Text) {
@@ -54,8 +31,7 @@
                                       std::string_view Method,
                                       std::string_view Path) {
   for (const ServiceOperation &Operation : Service.m_operations)
-    if (Operation.m_method == Method &&
-        internal::matches(Operation.m_path, Path))
+    if (Operation.m_method == Method && Operation.m_path == Path)
       return &Operation;
   return nullptr;
 }
--- a/packages/edge/turmericdyke/src/Edge/ServiceRoute.h
+++ b/packages/edge/turmericdyke/src/Edge/ServiceRoute.h
@@ -8,8 +8,8 @@
 struct PlainService;
 struct ServiceOperation;
 
-/// The operation of a service that a method and path select, or null. In a
-/// declared path, a segment `{name}` stands for any one segment.
+/// The operation of a service that a method and path select, or null. Declared
+/// paths are literal.
 const ServiceOperation *findOperation(const PlainService &Service,
                                       std::string_view Method,
                                       std::string_view Path);
