Show customers in the status, label histograms by class, mend the request handler

The status page lacked the customers that turmericctl status customers shows. Histograms of waits and times carry the class next to the customer. The end of a command had two enumerations that were cast into each other; one is left. The handler of completions is split in two.

--- a/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
@@ -261,34 +261,40 @@
   Response.set_content(Reply.m_body, Reply.m_contentType);
 }
 
-void CallerServer::onCompletion(const httplib::Request &Request,
-                                httplib::Response &Response) {
-  Instant Now = monotonicNow();
-  RequestId Id(m_services.nextId());
-  std::optional<Authenticated> Caller = authenticate(Request, Id, Response);
-  if (!Caller)
-    return;
-  internal::Json Body = internal::Json::parse(Request.body, nullptr, false);
-  if (std::optional<ErrorReply> Invalid = internal::checkCompletionBody(Body))
-    return refuse(*Invalid, Id, Caller->m_customer, Response);
-  const Customer &Owner =
-      Caller->m_view->m_declaration->m_customers.at(Caller->m_customer);
+CompletionCall CallerServer::completionCall(const httplib::Request &Request,
+                                            const nlohmann::json &Body,
+                                            const Customer &Owner) {
   CompletionCall Call;
-  Call.m_request = Id;
-  Call.m_customer = Caller->m_customer;
+  Call.m_customer = Owner.m_id;
   Call.m_pool = poolName(Owner.m_resolved);
   Call.m_rank = Owner.m_rank;
   Call.m_path = Request.path;
   Call.m_body = Request.body;
   Call.m_stream = Body.value("stream", false);
-  Call.m_received = Now;
-  Call.m_firstTokenBy = Now + Owner.m_firstTokenDeadline;
-  Call.m_deadline = Now + Owner.m_deadline;
+  Call.m_received = monotonicNow();
+  Call.m_firstTokenBy = Call.m_received + Owner.m_firstTokenDeadline;
+  Call.m_deadline = Call.m_received + Owner.m_deadline;
   std::string Prompt = promptText(Body);
   Call.m_size = requestSize(Body, Prompt.size());
   Call.m_longTokens = Owner.m_longTokens;
   Call.m_class = estimateClass(Call.m_size, Owner.m_longTokens);
   Call.m_prefixHashes = prefixHashes(Prompt);
+  return Call;
+}
+
+void CallerServer::onCompletion(const httplib::Request &Request,
+                                httplib::Response &Response) {
+  RequestId Id(m_services.nextId());
+  std::optional<Authenticated> Caller = authenticate(Request, Id, Response);
+  if (!Caller)
+    return;
+  internal::Json Body = internal::Json::parse(Request.body, nullptr, false);
+  if (std::optional<ErrorReply> Invalid = internal::checkCompletionBody(Body))
+    return refuse(*Invalid, Id, Caller->m_customer, Response);
+  const auto &Customers = Caller->m_view->m_declaration->m_customers;
+  CompletionCall Call =
+      completionCall(Request, Body, Customers.at(Caller->m_customer));
+  Call.m_request = Id;
   ++m_inFlight;
   if (!admit(Call, Response)) {
     --m_inFlight;
@@ -317,8 +323,9 @@
   Request.m_bytes = static_cast<std::int64_t>(Call.m_body.size());
   AdmissionDecision Decision = m_services.m_gate.acquire(Call.m_pool, Request);
   double Waited = absl::ToDoubleSeconds(monotonicNow() - Call.m_received);
-  m_services.m_metrics.observe("turmericdyke_queue_wait_seconds", Waited,
-                               {{"customer", Call.m_customer.str()}});
+  m_services.m_metrics.observe(
+      "turmericdyke_queue_wait_seconds", Waited,
+      {{"customer", Call.m_customer.str()}, {"class", nameOf(Call.m_class)}});
   if (Decision.m_outcome == AdmissionOutcome::Admitted)
     return true;
   refuse(internal::errorOf(Decision), Call.m_request, Call.m_customer,
@@ -380,8 +387,9 @@
                            const AttemptResult &Result) {
   const CompletionCall &Call = Running.call();
   double Seconds = absl::ToDoubleSeconds(monotonicNow() - Call.m_received);
-  m_services.m_metrics.observe("turmericdyke_request_seconds", Seconds,
-                               {{"customer", Call.m_customer.str()}});
+  m_services.m_metrics.observe(
+      "turmericdyke_request_seconds", Seconds,
+      {{"customer", Call.m_customer.str()}, {"class", nameOf(Call.m_class)}});
   LogLine(LogLevel::Info, "request_ended")
       .field("request", Call.m_request)
       .field("customer", Call.m_customer)
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.h
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include <httplib.h>
+#include <nlohmann/json_fwd.hpp>
 
 #include "absl/synchronization/mutex.h"
 #include "turmericdyke/src/Edge/EdgeServices.h"
@@ -43,6 +44,9 @@
   void addRoutes();
   void onCompletion(const httplib::Request &Request,
                     httplib::Response &Response);
+  static CompletionCall completionCall(const httplib::Request &Request,
+                                       const nlohmann::json &Body,
+                                       const Customer &Owner);
   bool admit(const CompletionCall &Call, httplib::Response &Response);
   void answerStream(const std::shared_ptr<Exchange> &Running,
                     ExchangeStep First, httplib::Response &Response);
--- a/packages/edge/turmericdyke/src/Edge/ControlPort.h
+++ b/packages/edge/turmericdyke/src/Edge/ControlPort.h
@@ -19,10 +19,18 @@
   std::string m_body;
 };
 
-/// The end of a command that was handed to the replicated log.
+enum class SubmitStatus {
+  /// Committed; the result is set.
+  Committed,
+  /// Never handed to a leader.
+  NotRun,
+  /// Handed to a leader, but no result came in time. It may still be committed.
+  Unknown
+};
+
+/// The end of a command for the replicated log.
 struct Submission {
-  /// Whether it was committed, certainly not taken, or unknown.
-  enum class Status { Committed, NotRun, Unknown } m_status = Status::NotRun;
+  SubmitStatus m_status = SubmitStatus::NotRun;
   /// Set when it was committed.
   CommandResult m_result;
 };
--- a/packages/edge/turmericdyke/src/Edge/CrashGuard.cpp
+++ b/packages/edge/turmericdyke/src/Edge/CrashGuard.cpp
@@ -94,7 +94,7 @@
       .field("customer", m_request.m_customer)
       .field("digest", toHex(m_request.m_digest))
       .field("crash", Mark.m_crashId)
-      .field("committed", Done.m_status == Submission::Status::Committed);
+      .field("committed", Done.m_status == SubmitStatus::Committed);
   return true;
 }
 
@@ -117,7 +117,7 @@
     if (Refused != nullptr &&
         Refused->m_reason == CommandRefusalReason::RequestRefused)
       return false;
-    m_holdsRun = Done.m_status == Submission::Status::Committed &&
+    m_holdsRun = Done.m_status == SubmitStatus::Committed &&
                  std::holds_alternative<CommandApplied>(Done.m_result);
     if (!m_holdsRun)
       absl::SleepFor(internal::PollInterval);
--- a/packages/edge/turmericdyke/src/Edge/Exchange.cpp
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.cpp
@@ -141,11 +141,13 @@
     m_services.m_gate.firstToken(m_call.m_pool, m_call.m_request);
     m_services.m_metrics.observe("turmericdyke_first_token_seconds",
                                  absl::ToDoubleSeconds(Now - m_call.m_received),
-                                 {{"customer", m_call.m_customer.str()}});
+                                 {{"customer", m_call.m_customer.str()},
+                                  {"class", nameOf(m_route.m_class)}});
   } else {
     m_services.m_metrics.observe("turmericdyke_between_tokens_seconds",
                                  absl::ToDoubleSeconds(Now - m_lastToken),
-                                 {{"customer", m_call.m_customer.str()}});
+                                 {{"customer", m_call.m_customer.str()},
+                                  {"class", nameOf(m_route.m_class)}});
   }
   m_lastToken = Now;
   ++m_tokens;
--- a/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
+++ b/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
@@ -194,7 +194,7 @@
   }
   // Without a result in time the call is not made. If the record is committed
   // later, this node closes it as not run.
-  if (Done.m_status != Submission::Status::Committed || Begun == nullptr)
+  if (Done.m_status != SubmitStatus::Committed || Begun == nullptr)
     return internal::errorReply({503, "log_unavailable",
                                  "the once-only record was not committed",
                                  Outcome::NotRun, internal::RetryWithoutLog});
--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -166,7 +166,7 @@
       break;
   }
   for (auto &[Ticket, Waiting] : m_waiters)
-    Waiting->complete({Submission::Status::Unknown, CommandApplied()});
+    Waiting->complete({SubmitStatus::Unknown, CommandApplied()});
   m_waiters.clear();
 }
 
@@ -318,8 +318,7 @@
     auto Found = m_waiters.find(Done.m_ticket);
     if (Found == m_waiters.end())
       continue;
-    Found->second->complete({static_cast<Submission::Status>(Done.m_status),
-                             std::move(Done.m_result)});
+    Found->second->complete({Done.m_status, std::move(Done.m_result)});
     m_waiters.erase(Found);
   }
   if (Output.m_snapshot)
@@ -491,6 +490,25 @@
   return Reply;
 }
 
+nlohmann::json ControlLoop::customersJson() const {
+  std::shared_ptr<const ClusterView> View = m_services.m_views.get();
+  nlohmann::json Customers = nlohmann::json::array();
+  for (const auto &[Id, Settings] : View->m_declaration->m_customers) {
+    std::string Pool = poolName(Settings.m_resolved);
+    AdmissionGate::Usage Used = m_services.m_gate.usage(Pool, Id);
+    auto Serving = View->m_pools.find(Pool);
+    std::size_t Replicas =
+        Serving == View->m_pools.end() ? 0 : Serving->second.size();
+    Customers.push_back({{"customer", Id.str()},
+                         {"pool", Pool},
+                         {"capacity", Settings.m_capacity},
+                         {"running", Used.m_running},
+                         {"queued", Used.m_queued},
+                         {"replicas_serving", Replicas}});
+  }
+  return Customers;
+}
+
 std::string ControlLoop::statusJson(Instant Now) {
   nlohmann::json Status = {{"node", m_settings.m_node.str()},
                            {"revision", m_core->state().revision()},
@@ -498,6 +516,7 @@
                            {"term", m_core->raft().term()},
                            {"commit_index", m_core->raft().commitIndex()}};
   m_fleet->fillStatus(Now, m_core->state(), Now < m_core->leaseUntil(), Status);
+  Status["customers"] = customersJson();
   for (nlohmann::json &Entry : Status["nodes"]) {
     NodeId Node(Entry["node"].get<std::string>());
     Entry["voter"] = m_core->raft().voters().find(Node) != nullptr;
--- a/packages/node/turmericdyke/src/Node/ControlLoop.h
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.h
@@ -12,6 +12,8 @@
 #include <variant>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "absl/random/random.h"
 #include "absl/synchronization/mutex.h"
 #include "turmericdyke/src/Edge/ControlPort.h"
@@ -88,6 +90,8 @@
   void stepQuota(Instant Now, const ClusterView &View);
   void logEvent(const RaftEvent &Value);
   std::string statusJson(Instant Now);
+  /// Customers with their running and queued requests on this node.
+  nlohmann::json customersJson() const;
   ControlCoreOptions coreOptions() const;
 
   EdgeServices &m_services;
--- a/packages/node/turmericdyke/src/Node/OperatorReplies.cpp
+++ b/packages/node/turmericdyke/src/Node/OperatorReplies.cpp
@@ -98,9 +98,9 @@
 }
 
 OperatorReply changeReply(const Submission &Done, std::string_view ChangeId) {
-  if (Done.m_status == Submission::Status::Committed)
+  if (Done.m_status == SubmitStatus::Committed)
     return std::visit(internal::ReplyOf{ChangeId}, Done.m_result);
-  return unavailableReply(Done.m_status == Submission::Status::NotRun
+  return unavailableReply(Done.m_status == SubmitStatus::NotRun
                               ? Outcome::NotRun
                               : Outcome::MayHaveRun);
 }
--- a/packages/node/turmericdyke/src/Node/Submissions.h
+++ b/packages/node/turmericdyke/src/Node/Submissions.h
@@ -7,19 +7,11 @@
 
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Control/CommandResult.h"
+#include "turmericdyke/src/Edge/ControlPort.h"
 #include "turmericdyke/src/Node/Envelope.h"
 
 namespace turmericdyke {
 
-enum class SubmitStatus {
-  /// Committed; the result is set.
-  Committed,
-  /// Never handed to a leader.
-  NotRun,
-  /// Handed to a leader, but no result came in time. It may still be committed.
-  Unknown
-};
-
 /// The end of a submitted command.
 struct Completion {
   std::uint64_t m_ticket = 0;
