Share the retry decision, the bearer key and the end of a once-only call

Cause: a read of the whole change found logic that stood twice or ran twice.

Change: EdgeServices::retryPause serves completions and services; bearerKey serves the caller and the control ports; finishOf builds the command that ends a call in ControlCore and ServiceHandler; storeAnswer puts an answer into a record for a finished call and for a status query.

One behaviour changes with storeAnswer: an answer of a status query over 64 KiB is now recorded without its body. Before, the command was too large to be read and did nothing. No test covers that case yet.

--- a/packages/control/turmericdyke/src/Control/Command.cpp
+++ b/packages/control/turmericdyke/src/Control/Command.cpp
@@ -371,6 +371,17 @@
 
 } // namespace internal
 
+FinishOnceOnly finishOf(const BeginOnceOnly &Begun, OnceOnlyOutcome Outcome) {
+  FinishOnceOnly Finish;
+  Finish.m_customer = Begun.m_customer;
+  Finish.m_key = Begun.m_key;
+  Finish.m_node = Begun.m_node;
+  Finish.m_nodeIncarnation = Begun.m_nodeIncarnation;
+  Finish.m_attempt = Begun.m_attempt;
+  Finish.m_outcome = Outcome;
+  return Finish;
+}
+
 Command toCommand(AssignmentChange Change) {
   return std::visit(
       [](auto &&Value) {
--- a/packages/control/turmericdyke/src/Control/Command.h
+++ b/packages/control/turmericdyke/src/Control/Command.h
@@ -91,6 +91,9 @@
                          const FinishOnceOnly &) = default;
 };
 
+/// The command by which the owner of a call states how it ended.
+FinishOnceOnly finishOf(const BeginOnceOnly &Begun, OnceOnlyOutcome Outcome);
+
 /// Declares a node process dead. Its open once-only records become
 /// `MayHaveRun`, and it may begin no others.
 struct NodeLost {
--- a/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/CallerServer.cpp
@@ -19,16 +19,9 @@
 constexpr std::size_t MaxIdempotencyKeyBytes = 255;
 constexpr std::size_t ServicePrefixBytes =
     std::string_view("/v1/services/").size();
-constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr absl::Duration RetryWithoutLease = absl::Seconds(1);
 constexpr absl::Duration RetryWithoutReplica = absl::Seconds(2);
 
-std::string bearerKey(const httplib::Request &Request) {
-  std::string Value = Request.get_header_value("Authorization");
-  return Value.rfind(BearerPrefix, 0) == 0 ? Value.substr(BearerPrefix.size())
-                                           : "";
-}
-
 /// The error that a caller sees for a failed attempt of a completion.
 ErrorReply errorOf(const AttemptResult &Result) {
   ErrorReply Reply;
@@ -178,7 +171,7 @@
     return std::nullopt;
   }
   std::optional<CustomerId> Customer =
-      keysOf(*Caller.m_view)->customerOf(internal::bearerKey(Request));
+      keysOf(*Caller.m_view)->customerOf(bearerKey(Request).value_or(""));
   if (!Customer) {
     refuse({401, "unknown_key", "the bearer key belongs to no customer",
             Outcome::NotRun, std::nullopt},
--- a/packages/edge/turmericdyke/src/Edge/ControlServer.cpp
+++ b/packages/edge/turmericdyke/src/Edge/ControlServer.cpp
@@ -13,8 +13,6 @@
 namespace internal {
 namespace {
 
-constexpr std::string_view KeyPrefix = "Bearer ";
-
 void write(const OperatorReply &Reply, httplib::Response &Response) {
   Response.status = Reply.m_status;
   Response.set_content(Reply.m_body, "application/json");
@@ -42,10 +40,8 @@
                                httplib::Response &Response) {
   if (!m_key)
     return true;
-  std::string Value = Request.get_header_value("Authorization");
-  bool Bearer = Value.rfind(internal::KeyPrefix, 0) == 0;
-  if (Bearer && m_key->matches(
-                    std::string_view(Value).substr(internal::KeyPrefix.size())))
+  std::optional<std::string> Key = bearerKey(Request);
+  if (Key && m_key->matches(*Key))
     return true;
   m_services.m_metrics.increment("turmericdyke_unauthorised_total",
                                  {{"port", m_name}});
--- a/packages/edge/turmericdyke/src/Edge/EdgeServices.cpp
+++ b/packages/edge/turmericdyke/src/Edge/EdgeServices.cpp
@@ -21,4 +21,12 @@
   m_budgets[Pool].onRequest();
 }
 
+std::optional<absl::Duration>
+EdgeServices::retryPause(const std::string &Pool, const RetryRequest &Request,
+                         const AttemptResult &Result) {
+  absl::MutexLock Lock(&m_budgetLock);
+  return decideRetry(monotonicNow(), RetryOptions(), Request, Result,
+                     m_budgets[Pool], m_random);
+}
+
 } // namespace turmericdyke
--- a/packages/edge/turmericdyke/src/Edge/EdgeServices.h
+++ b/packages/edge/turmericdyke/src/Edge/EdgeServices.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "absl/random/random.h"
@@ -13,6 +14,7 @@
 #include "turmericdyke/src/Edge/ClusterView.h"
 #include "turmericdyke/src/Edge/ReplicaRouter.h"
 #include "turmericdyke/src/Requests/RetryBudget.h"
+#include "turmericdyke/src/Requests/RetryPolicy.h"
 
 namespace turmericdyke {
 
@@ -40,12 +42,11 @@
 
   /// Counts a request of the pool for its retry budget.
   void onRequest(const std::string &Pool);
-  /// Runs `Use` on the pool's retry budget under its lock.
-  template <class Function>
-  auto withBudget(const std::string &Pool, Function &&Use) {
-    absl::MutexLock Lock(&m_budgetLock);
-    return Use(m_budgets[Pool], m_random);
-  }
+  /// Decides on a retry within the pool's budget; the pause before it, or
+  /// nothing when there is none.
+  std::optional<absl::Duration> retryPause(const std::string &Pool,
+                                           const RetryRequest &Request,
+                                           const AttemptResult &Result);
 
 private:
   std::atomic<std::uint64_t> m_nextId{1};
--- a/packages/edge/turmericdyke/src/Edge/Exchange.cpp
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.cpp
@@ -202,11 +202,8 @@
   Facts.m_repeatable = true;
   Facts.m_attemptsMade = m_attempts;
   Facts.m_deadline = std::min(m_call.m_deadline, m_call.m_firstTokenBy);
-  Instant Now = monotonicNow();
-  std::optional<absl::Duration> Pause = m_services.withBudget(
-      m_call.m_pool, [&](RetryBudget &Budget, absl::BitGen &Random) {
-        return decideRetry(Now, RetryOptions(), Facts, Result, Budget, Random);
-      });
+  std::optional<absl::Duration> Pause =
+      m_services.retryPause(m_call.m_pool, Facts, Result);
   if (!Pause)
     return false;
   m_earlierMayHaveRun =
--- a/packages/edge/turmericdyke/src/Edge/HttpPort.cpp
+++ b/packages/edge/turmericdyke/src/Edge/HttpPort.cpp
@@ -4,6 +4,14 @@
 
 namespace turmericdyke {
 
+std::optional<std::string> bearerKey(const httplib::Request &Request) {
+  constexpr std::string_view Prefix = "Bearer ";
+  std::string Value = Request.get_header_value("Authorization");
+  if (Value.rfind(Prefix, 0) != 0)
+    return std::nullopt;
+  return Value.substr(Prefix.size());
+}
+
 HttpPort::HttpPort(HttpPortOptions Options) : m_options(std::move(Options)) {
   m_server.new_task_queue = [Max = m_options.m_maxConnections] {
     return new ConnectionThreads(Max);
--- a/packages/edge/turmericdyke/src/Edge/HttpPort.h
+++ b/packages/edge/turmericdyke/src/Edge/HttpPort.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -10,6 +11,9 @@
 
 namespace turmericdyke {
 
+/// The key of the header `Authorization: Bearer KEY`, if there is one.
+std::optional<std::string> bearerKey(const httplib::Request &Request);
+
 struct HttpPortOptions {
   std::string m_host = "127.0.0.1";
   /// 0 lets the system choose.
--- a/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
+++ b/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
@@ -67,6 +67,14 @@
   }
 }
 
+/// Puts an answer into a record, without its body if that is too large.
+void storeAnswer(int Status, const std::string &Body, FinishOnceOnly &Finish) {
+  Finish.m_answerStatus = Status;
+  Finish.m_bodyOmitted = Body.size() > MaxStoredAnswerBytes;
+  if (!Finish.m_bodyOmitted)
+    Finish.m_answerBody = Body;
+}
+
 OnceOnlyOutcome recordOutcome(Outcome Known) {
   constexpr OnceOnlyOutcome Outcomes[] = {OnceOnlyOutcome::NotRun,
                                           OnceOnlyOutcome::MayHaveRun,
@@ -163,11 +171,8 @@
     if (Last.m_result.m_end == AttemptEnd::Complete)
       return {std::nullopt, Last.m_result.m_status, Last.m_contentType,
               std::move(Last.m_body), false};
-    std::optional<absl::Duration> Pause = m_services.withBudget(
-        Group, [&](RetryBudget &Budget, absl::BitGen &Random) {
-          return decideRetry(monotonicNow(), RetryOptions(), Facts,
-                             Last.m_result, Budget, Random);
-        });
+    std::optional<absl::Duration> Pause =
+        m_services.retryPause(Group, Facts, Last.m_result);
     MayHaveRun = MayHaveRun || Last.m_result.outcome() == Outcome::MayHaveRun;
     if (!Pause)
       break;
@@ -246,17 +251,9 @@
 
 void ServiceHandler::finishRecord(const BeginOnceOnly &Begun,
                                   const Tried &Done) {
-  FinishOnceOnly Finish;
-  Finish.m_customer = Begun.m_customer;
-  Finish.m_key = Begun.m_key;
-  Finish.m_node = Begun.m_node;
-  Finish.m_nodeIncarnation = Begun.m_nodeIncarnation;
-  Finish.m_attempt = Begun.m_attempt;
-  Finish.m_outcome = internal::recordOutcome(Done.m_result.outcome());
-  Finish.m_answerStatus = Done.m_result.m_status;
-  Finish.m_bodyOmitted = Done.m_body.size() > MaxStoredAnswerBytes;
-  if (!Finish.m_bodyOmitted)
-    Finish.m_answerBody = Done.m_body;
+  FinishOnceOnly Finish =
+      finishOf(Begun, internal::recordOutcome(Done.m_result.outcome()));
+  internal::storeAnswer(Done.m_result.m_status, Done.m_body, Finish);
   // If this is not committed, a resend gets "in progress", and "may have run"
   // once this node is lost. Both are true.
   (void)m_control.submit(Finish);
@@ -312,8 +309,7 @@
   Finish.m_attempt = Record.m_attempt;
   Finish.m_fromStatusQuery = true;
   Finish.m_outcome = OnceOnlyOutcome::Ran;
-  Finish.m_answerStatus = Answer.m_status;
-  Finish.m_answerBody = Answer.m_body;
+  internal::storeAnswer(Answer.m_status, Answer.m_body, Finish);
   (void)m_control.submit(Finish);
   Answer.m_replayed = true;
   return Answer;
--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -294,14 +294,7 @@
   if (!Decoded)
     return;
   const auto &Begun = std::get<BeginOnceOnly>(Decoded.value());
-  FinishOnceOnly Finish;
-  Finish.m_customer = Begun.m_customer;
-  Finish.m_key = Begun.m_key;
-  Finish.m_node = Begun.m_node;
-  Finish.m_nodeIncarnation = Begun.m_nodeIncarnation;
-  Finish.m_attempt = Begun.m_attempt;
-  Finish.m_outcome = OnceOnlyOutcome::NotRun;
-  submit(Now, Finish);
+  submit(Now, finishOf(Begun, OnceOnlyOutcome::NotRun));
 }
 
 void ControlCore::maybeSnapshot() {
--- a/packages/node/turmericdyke/src/Node/FleetSide.cpp
+++ b/packages/node/turmericdyke/src/Node/FleetSide.cpp
@@ -182,12 +182,11 @@
     if (Made.m_needsFences)
       Output.m_commands.emplace_back(
           AdvanceFence{m_options.m_node, internal::FencesPerBlock});
-    TargetMap Targets = targetMap(Now);
     for (Order &Sent : Made.m_orders) {
-      auto Known = Targets.find(Sent.m_target);
-      if (Known != Targets.end())
+      std::optional<DirectoryView> Known = m_directory.find(Now, Sent.m_target);
+      if (Known)
         Output.m_orders.push_back(
-            {Known->second.m_announcement->m_address, std::move(Sent)});
+            {Known->m_announcement->m_address, std::move(Sent)});
     }
   }
   m_leadership->m_openCommands +=
