--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # `make check` and `make demo` are the two commands of the README; both work on a fresh Debian machine.
 BUILD ?= build
 PACKAGES = g++ cmake ninja-build ccache pkg-config clang-format clang-tidy make curl \
-  libabsl-dev libnghttp2-dev libboost-dev libcpp-httplib-dev libgflags-dev libfmt-dev doctest-dev \
+  libabsl-dev libnghttp2-dev libboost-dev libcpp-httplib-dev libhttp-parser-dev libgflags-dev libfmt-dev doctest-dev \
   librapidcheck-dev nlohmann-json3-dev libyaml-cpp-dev libssl-dev
 
 .PHONY: deps build test format format-check lint check demo bench fuzz
--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -1,7 +1,13 @@
 # The packages and the only other packages each may use. Configuration fails when a package declares a
 # dependency that is not listed here.
 set(TURMERICDYKE_ALLOWED_base "")
+set(TURMERICDYKE_ALLOWED_loop base)
+set(TURMERICDYKE_ALLOWED_http base loop)
 set(TURMERICDYKE_ALLOWED_fleet base)
+set(TURMERICDYKE_ALLOWED_catalog base fleet)
+set(TURMERICDYKE_ALLOWED_groups base fleet catalog)
+set(TURMERICDYKE_ALLOWED_feed base fleet)
+set(TURMERICDYKE_ALLOWED_serving base fleet catalog routing)
 set(TURMERICDYKE_ALLOWED_declaration base)
 set(TURMERICDYKE_ALLOWED_consensus base)
 set(TURMERICDYKE_ALLOWED_storage base consensus)
@@ -11,10 +17,12 @@
 set(TURMERICDYKE_ALLOWED_routing base fleet)
 set(TURMERICDYKE_ALLOWED_admission base fleet declaration)
 set(TURMERICDYKE_ALLOWED_requests base)
-set(TURMERICDYKE_ALLOWED_peer base fleet consensus)
-set(TURMERICDYKE_ALLOWED_edge base fleet declaration consensus storage control membership formation
+set(TURMERICDYKE_ALLOWED_peer base fleet consensus loop)
+set(TURMERICDYKE_ALLOWED_entry base loop http fleet catalog routing serving feed consensus peer)
+set(TURMERICDYKE_ALLOWED_edge base loop fleet declaration consensus storage control membership formation
     routing admission requests peer)
 set(TURMERICDYKE_ALLOWED_node ${TURMERICDYKE_ALLOWED_edge} edge)
+set(TURMERICDYKE_ALLOWED_coordinator ${TURMERICDYKE_ALLOWED_node} http catalog groups feed node)
 set(TURMERICDYKE_ALLOWED_ctl base declaration)
 set(TURMERICDYKE_ALLOWED_standin base fleet)
 
@@ -53,12 +61,14 @@
   set(TURMERICDYKE_TEST_USES ${P_TEST_USES})
   list(TRANSFORM TURMERICDYKE_TEST_USES PREPEND td_)
   set(TURMERICDYKE_TEST_USES ${TURMERICDYKE_TEST_USES} PARENT_SCOPE)
-  turmericdyke_package_tests(${NAME})
+  if(TURMERICDYKE_TESTS)
+    turmericdyke_tests(${NAME})
+  endif()
 endfunction()
 
 # Builds test/*.cpp of the current package into NAME_test and each doc/*.cpp into its own program, and
 # registers all of them with CTest.
-function(turmericdyke_package_tests NAME)
+function(turmericdyke_tests NAME)
   file(GLOB Tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
   if(Tests)
     add_executable(${NAME}_test ${Tests})
@@ -78,6 +88,9 @@
 
 # Builds bench/*.cpp of the current package into NAME_bench, which is neither a test nor installed.
 function(turmericdyke_package_bench NAME)
+  if(NOT TURMERICDYKE_TESTS)
+    return()
+  endif()
   file(GLOB Sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/bench/*.cpp)
   add_executable(${NAME}_bench ${Sources})
   target_include_directories(${NAME}_bench PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
--- a/packages/base/turmericdyke/src/Base/Instant.cpp
+++ b/packages/base/turmericdyke/src/Base/Instant.cpp
@@ -1,12 +1,13 @@
 #include "turmericdyke/src/Base/Instant.h"
 
-#include <chrono>
+#include <ctime>
 
 namespace turmericdyke {
 
 Instant monotonicNow() {
-  return absl::UnixEpoch() +
-         absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+  timespec Reading{};
+  clock_gettime(CLOCK_BOOTTIME, &Reading);
+  return absl::TimeFromTimespec(Reading);
 }
 
 } // namespace turmericdyke
--- a/packages/base/turmericdyke/src/Base/Instant.h
+++ b/packages/base/turmericdyke/src/Base/Instant.h
@@ -8,8 +8,9 @@
 /// instants of two hosts are never compared.
 using Instant = absl::Time;
 
-/// Reads the monotonic clock. Only code at the edge calls this; decision code
-/// receives the time.
+/// Reads the monotonic clock, which also counts the time during which the host
+/// was suspended: a lease must not outlive it. Only code at the edge calls
+/// this; decision code receives the time.
 Instant monotonicNow();
 
 } // namespace turmericdyke
--- a/packages/base/turmericdyke/src/Base/LogLine.cpp
+++ b/packages/base/turmericdyke/src/Base/LogLine.cpp
@@ -1,11 +1,11 @@
 #include "turmericdyke/src/Base/LogLine.h"
 
 #include <atomic>
-#include <cstdio>
 
 #include "absl/strings/escaping.h"
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
+#include "turmericdyke/src/Base/LogSink.h"
 
 namespace turmericdyke {
 
@@ -34,7 +34,7 @@
 void setLogLevel(LogLevel Level) { internal::LeastLevel = Level; }
 
 LogLine::LogLine(LogLevel Level, std::string_view Event)
-    : m_enabled(Level >= internal::LeastLevel.load()) {
+    : m_level(Level), m_enabled(Level >= internal::LeastLevel.load()) {
   if (!m_enabled)
     return;
   std::string Time = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(),
@@ -47,8 +47,7 @@
   if (!m_enabled)
     return;
   m_text.push_back('\n');
-  // One call a line keeps lines of different threads whole.
-  std::fwrite(m_text.data(), 1, m_text.size(), stderr);
+  LogSink::standard().take(m_text, m_level >= LogLevel::Warning);
 }
 
 LogLine &LogLine::field(std::string_view Key, std::string_view Value) {
--- a/packages/base/turmericdyke/src/Base/LogLine.h
+++ b/packages/base/turmericdyke/src/Base/LogLine.h
@@ -15,9 +15,9 @@
 /// Sets the least level that is written. The default is `Info`.
 void setLogLevel(LogLevel Level);
 
-/// One event as one line of key=value pairs on standard error, written when the
-/// object is destroyed. Values with spaces, quotes or control characters are
-/// quoted. Bodies and keys must not be logged.
+/// One event as one line of key=value pairs on standard output (see `LogSink`),
+/// written when the object is destroyed. Values with spaces, quotes or control
+/// characters are quoted. Bodies and keys must not be logged.
 class LogLine {
 public:
   LogLine(LogLevel Level, std::string_view Event);
@@ -44,6 +44,7 @@
   }
 
 private:
+  LogLevel m_level;
   bool m_enabled;
   std::string m_text;
 };
--- /dev/null
+++ b/packages/catalog/turmericdyke/src/Catalog/CatalogCheck.cpp
@@ -0,0 +1,85 @@
+#include "turmericdyke/src/Catalog/CatalogCheck.h"
+
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include "turmericdyke/src/Catalog/Catalog.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+std::optional<CatalogError> faultOf(const Route &Value) {
+  std::string Place = "route " + Value.m_name;
+  if (Value.m_pathPrefix.empty() || Value.m_pathPrefix.front() != '/' ||
+      Value.m_pathPrefix.back() != '/')
+    return CatalogError{Place, "the prefix does not begin and end with '/'"};
+  if (Value.m_timeout <= absl::ZeroDuration())
+    return CatalogError{Place, "the time limit is not above 0"};
+  if (Value.m_maxAttempts < 1)
+    return CatalogError{Place, "no attempt is allowed"};
+  std::uint64_t Sum = 0;
+  for (const WeightedService &Part : Value.m_services)
+    Sum += Part.m_weight;
+  if (Sum == 0)
+    return CatalogError{Place, "the weights add up to 0"};
+  return std::nullopt;
+}
+
+std::optional<CatalogError> faultOfRoutes(const Catalog &Value) {
+  std::set<std::pair<std::string_view, std::string_view>> Places;
+  for (const Route &Entry : Value.m_routes) {
+    if (std::optional<CatalogError> Fault = faultOf(Entry))
+      return Fault;
+    if (!Places.emplace(Entry.m_host, Entry.m_pathPrefix).second)
+      return CatalogError{"route " + Entry.m_name,
+                          "another route has the same host and prefix"};
+    for (const WeightedService &Part : Entry.m_services)
+      if (Value.service(Part.m_service) == nullptr)
+        return CatalogError{"route " + Entry.m_name,
+                            "unknown service " + Part.m_service.str()};
+  }
+  return std::nullopt;
+}
+
+std::optional<CatalogError> faultOfCustomers(const Catalog &Value) {
+  std::map<std::string_view, const CustomerEntry *> Holders;
+  for (const CustomerEntry &Entry : Value.m_customers)
+    for (const std::string &Key : Entry.m_keys)
+      if (Holders.emplace(Key, &Entry).first->second != &Entry)
+        return CatalogError{"customer " + Entry.m_id.str(),
+                            "another customer holds one of the keys"};
+  return std::nullopt;
+}
+
+std::optional<CatalogError> faultOfServices(const Catalog &Value) {
+  std::set<std::string_view> Names;
+  for (const ServiceEntry &Entry : Value.m_services) {
+    if (Entry.m_id.empty() || !Names.insert(Entry.m_id.str()).second)
+      return CatalogError{"service " + Entry.m_id.str(),
+                          "the name is empty or taken"};
+    if (!Entry.m_engine)
+      continue;
+    for (const EngineModel &Model : Entry.m_engine->m_models)
+      if (Model.m_members < 1 || Model.m_pace <= 0)
+        return CatalogError{"model " + Model.m_name,
+                            "size or pace is not above 0"};
+  }
+  return std::nullopt;
+}
+
+} // namespace
+} // namespace internal
+
+std::optional<CatalogError> findFault(const Catalog &Value) {
+  if (std::optional<CatalogError> Fault = internal::faultOfServices(Value))
+    return Fault;
+  if (std::optional<CatalogError> Fault = internal::faultOfRoutes(Value))
+    return Fault;
+  return internal::faultOfCustomers(Value);
+}
+
+} // namespace turmericdyke
--- a/packages/control/turmericdyke/src/Control/Command.cpp
+++ b/packages/control/turmericdyke/src/Control/Command.cpp
@@ -158,6 +158,11 @@
           {"max_stored_answer_bytes", Value.m_limits.m_maxStoredAnswerBytes}};
 }
 
+nlohmann::json body(const SetRouting &Value) {
+  return {{"version", Value.m_version},
+          {"document", bytesJson(Value.m_document)}};
+}
+
 void readBytes(JsonReader &Reader, const nlohmann::json &Object,
                const char *Field, std::string &Value, std::size_t MaxBytes) {
   auto Found = Object.is_object() ? Object.find(Field) : Object.end();
@@ -332,6 +337,14 @@
   Value.m_limits.m_onceOnlyRetention = absl::Microseconds(Retention);
 }
 
+void read(JsonReader &Reader, const nlohmann::json &Object, SetRouting &Value) {
+  Reader.number("version", Value.m_version);
+  readRequiredBytes(Reader, Object, "document", Value.m_document,
+                    MaxCommandBytes);
+  if (Value.m_version == 0)
+    Reader.fail("version", "is not above 0");
+}
+
 template <class T>
 Result<Command, ControlError> readCommand(const nlohmann::json &Object) {
   T Value;
@@ -366,6 +379,7 @@
     {"end_suspect_run", readCommand<EndSuspectRun>},
     {"tick", readCommand<Tick>},
     {"set_limits", readCommand<SetLimits>},
+    {"set_routing", readCommand<SetRouting>},
 };
 static_assert(std::size(CommandKinds) + 1 == std::variant_size_v<Command>);
 
--- a/packages/control/turmericdyke/src/Control/Command.h
+++ b/packages/control/turmericdyke/src/Control/Command.h
@@ -183,6 +183,17 @@
 };
 
 /// A command of a newer version, which this version ignores.
+/// Puts a routing document in force if its version is above the present one.
+struct SetRouting {
+  /// Chosen by the operator; above 0.
+  std::uint64_t m_version = 0;
+  /// As the operator sent it. The state does not look inside; it was checked
+  /// before it was submitted.
+  std::string m_document;
+
+  friend bool operator==(const SetRouting &, const SetRouting &) = default;
+};
+
 struct UnknownCommand {
   std::string m_kind;
 
@@ -194,7 +205,8 @@
     std::variant<UnknownCommand, ApplyDeclaration, SetDrained, SetAssignment,
                  RemoveAssignment, AcceptBuild, ReleaseHost, AdvanceFence,
                  BeginOnceOnly, FinishOnceOnly, NodeLost, MarkSuspects,
-                 ClearSuspect, BeginSuspectRun, EndSuspectRun, Tick, SetLimits>;
+                 ClearSuspect, BeginSuspectRun, EndSuspectRun, Tick, SetLimits,
+                 SetRouting>;
 
 /// Command of an assignment change.
 Command toCommand(AssignmentChange Change);
--- a/packages/control/turmericdyke/src/Control/CommandResult.h
+++ b/packages/control/turmericdyke/src/Control/CommandResult.h
@@ -140,9 +140,19 @@
                          const OnceOnlyFinish &) = default;
 };
 
+/// Answer to `SetRouting`.
+struct RoutingSet {
+  /// The version in force after the command.
+  std::uint64_t m_version = 0;
+  /// Whether the command put it in force.
+  bool m_replaced = false;
+
+  friend bool operator==(const RoutingSet &, const RoutingSet &) = default;
+};
+
 using CommandResult =
     std::variant<CommandApplied, CommandIgnored, ChangeAccepted, ChangeConflict,
                  CommandInvalid, CommandRefused, FencesGranted, OnceOnlyBegin,
-                 OnceOnlyFinish>;
+                 OnceOnlyFinish, RoutingSet>;
 
 } // namespace turmericdyke
--- a/packages/control/turmericdyke/src/Control/ControlState.cpp
+++ b/packages/control/turmericdyke/src/Control/ControlState.cpp
@@ -141,6 +141,13 @@
   return CommandApplied{};
 }
 
+CommandResult ControlState::applyTo(const SetRouting &Value) {
+  bool Replaces = Value.m_version > m_routing.m_version;
+  if (Replaces)
+    m_routing = Value;
+  return RoutingSet{m_routing.m_version, Replaces};
+}
+
 std::string ControlState::snapshot() const {
   nlohmann::json Object = {
       {"format", internal::SnapshotFormat},
@@ -154,7 +161,11 @@
       {"changes", m_changes.toJson()},
       {"assignments", m_assignments.toJson()},
       {"once_only", m_onceOnly.toJson()},
-      {"suspects", m_suspects.toJson()}};
+      {"suspects", m_suspects.toJson()},
+      {"routing_version", m_routing.m_version},
+      {"routing_document",
+       nlohmann::json::binary(
+           {m_routing.m_document.begin(), m_routing.m_document.end()})}};
   std::string Bytes;
   nlohmann::json::to_cbor(Object, Bytes);
   return Bytes;
@@ -176,6 +187,12 @@
     State.m_limits.m_maxStoredAnswerBytes =
         Object.at("max_stored_answer_bytes");
     State.m_nextFence = Object.at("next_fence");
+    // Absent in snapshots of versions without routing documents.
+    if (Object.contains("routing_version")) {
+      State.m_routing.m_version = Object.at("routing_version");
+      const auto &Document = Object.at("routing_document").get_binary();
+      State.m_routing.m_document.assign(Document.begin(), Document.end());
+    }
     State.m_suspects.readJson(Object.at("suspects"));
     if (!State.m_changes.readJson(Object.at("changes")))
       return failure(ControlError{"/changes", "holds a wrong declaration"});
--- a/packages/control/turmericdyke/src/Control/ControlState.h
+++ b/packages/control/turmericdyke/src/Control/ControlState.h
@@ -82,6 +82,9 @@
     return m_changes.drainedHosts();
   }
 
+  /// The routing document in force; version 0 before the first one.
+  const SetRouting &routing() const { return m_routing; }
+
   /// Null when there is none.
   std::shared_ptr<const Assignment> assignment(const ReplicaId &Id) const {
     return m_assignments.find(Id);
@@ -145,10 +148,12 @@
   CommandResult applyTo(const EndSuspectRun &Value);
   CommandResult applyTo(const Tick &Value);
   CommandResult applyTo(const SetLimits &Value);
+  CommandResult applyTo(const SetRouting &Value);
 
   std::uint64_t m_appliedIndex = 0;
   absl::Time m_logTime = absl::UnixEpoch();
   ControlLimits m_limits;
+  SetRouting m_routing;
   std::uint64_t m_nextFence = 1;
   std::uint64_t m_ignoredCommands = 0;
   internal::ChangeLog m_changes;
--- /dev/null
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -0,0 +1,669 @@
+#include "turmericdyke/src/Coordinator/CoordinatorNode.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "absl/time/clock.h"
+#include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Base/LogSink.h"
+#include "turmericdyke/src/Http/ServerExchange.h"
+#include "turmericdyke/src/Node/CoreCodec.h"
+#include "turmericdyke/src/Peer/PeerTransport.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+/// `ControlCore` must be ticked this often.
+constexpr absl::Duration CoreTick = absl::Milliseconds(20);
+constexpr absl::Duration RosterInterval = absl::Seconds(1);
+/// Waits for further changes before groups are planned, or the feed is pushed.
+constexpr absl::Duration PlanDelay = absl::Milliseconds(20);
+constexpr absl::Duration PushDelay = absl::Milliseconds(10);
+/// Planning without a change: silence of servers is found this late at most.
+constexpr absl::Duration PlanInterval = absl::Milliseconds(250);
+/// A new leader listens this long before it acts: two intervals between
+/// announcements of 1.2 s, and a margin.
+constexpr absl::Duration SettleTime = absl::Seconds(3);
+/// A plain server that was silent for this long is not offered any more: its
+/// announcements may be late by seconds, and entry nodes notice a crash
+/// themselves.
+constexpr absl::Duration PlainSilence = absl::Seconds(5);
+/// A server that was silent for this long is forgotten.
+constexpr absl::Duration ForgetSilence = absl::Seconds(30);
+/// How long a stop waits for another voter to take over, and for calls that are
+/// under way.
+constexpr absl::Duration StopWait = absl::Seconds(2);
+constexpr absl::Duration StopPoll = absl::Milliseconds(50);
+
+std::string_view nameOf(RaftEventKind Kind) {
+  constexpr std::string_view Names[] = {"leadership_gained", "leadership_lost",
+                                        "voter_rolled_back", "identity_revoked",
+                                        "voters_committed",  "transfer_failed",
+                                        "committed_conflict"};
+  return Names[static_cast<std::size_t>(Kind)];
+}
+
+CoordinatorRosterOptions rosterOptions(const CoordinatorSettings &Settings) {
+  CoordinatorRosterOptions Options;
+  Options.m_voters = 2 * Settings.m_toleratedLosses + 1;
+  return Options;
+}
+
+GroupPlannerOptions plannerOptions(const CoordinatorSettings &Settings) {
+  GroupPlannerOptions Options;
+  Options.m_headGivesUpAfter = Settings.m_headStall + absl::Seconds(1);
+  return Options;
+}
+
+} // namespace
+} // namespace internal
+
+CoordinatorNode::CoordinatorNode(CoordinatorSettings Settings,
+                                 const CoordinatorDialect &Dialect)
+    : m_settings(std::move(Settings)), m_dialect(Dialect),
+      m_self(m_settings.m_peerAddress),
+      m_roster(m_self, internal::rosterOptions(m_settings)),
+      m_planner(internal::plannerOptions(m_settings)) {
+  m_pool = std::make_unique<HttpClientPool>(
+      m_loop, ClientConnectionOptions(),
+      [this] { m_metrics.increment("turmericdyke_target_connects_total"); });
+  m_orders = std::make_unique<OrderCalls>(
+      m_loop, *m_pool, m_dialect,
+      [this](const GroupOrder &Order, OrderAnswer Answer) {
+        if (m_planner.leading())
+          m_planner.answered(monotonicNow(), Order, Answer);
+        planSoon();
+      });
+}
+
+CoordinatorNode::~CoordinatorNode() {
+  if (m_transport)
+    m_transport->stop();
+}
+
+Result<void, CoordinatorError> CoordinatorNode::start() {
+  auto Opened = DataDirectory::open(m_settings.m_dataDirectory);
+  if (!Opened)
+    return failure(CoordinatorError{Opened.error().m_message});
+  for (const std::string &Notice : Opened.value().notices())
+    LogLine(LogLevel::Warning, "data_directory_repaired")
+        .field("notice", Notice);
+  m_directory = std::move(Opened).value();
+  m_control = std::make_unique<HttpServer>(
+      m_loop,
+      [this](std::shared_ptr<ServerExchange> Exchange) {
+        onCall(std::move(Exchange));
+      },
+      [this](HttpServerEvent Event) {
+        m_metrics.increment("turmericdyke_control_events_total",
+                            {{"event", turmericdyke::nameOf(Event)}});
+      });
+  m_scrapes = std::make_unique<HttpServer>(
+      m_loop,
+      [this](const std::shared_ptr<ServerExchange> &Exchange) {
+        onMetrics(Exchange);
+      },
+      [](HttpServerEvent) {});
+  for (auto [Server, Address] :
+       {std::pair{m_control.get(), m_settings.m_controlAddress},
+        std::pair{m_scrapes.get(), m_settings.m_metricsAddress}}) {
+    if (Address.empty())
+      continue;
+    if (Result<void, SocketError> Listening = Server->listen(Address);
+        !Listening)
+      return failure(CoordinatorError{Listening.error().m_message});
+  }
+  PeerTransportOptions Options;
+  Options.m_identity.m_node = m_self;
+  Options.m_identity.m_incarnation =
+      static_cast<std::uint64_t>(absl::GetCurrentTimeNanos());
+  Options.m_identity.m_address = m_settings.m_peerAddress;
+  Options.m_listenAddress = m_settings.m_peerAddress;
+  Options.m_clusterSecret = m_settings.m_clusterSecret;
+  auto Transport =
+      PeerTransport::start(Options, [this](ReceivedMessage Message) {
+        m_loop.post([this, Held = std::move(Message)] { onPeerMessage(Held); });
+      });
+  if (!Transport)
+    return failure(CoordinatorError{Transport.error().m_message});
+  m_transport = std::move(Transport).value();
+  LogSink::standard().setCollecting(true);
+  m_loop.setAfterTurn([] { LogSink::standard().flush(); });
+  LogLine(LogLevel::Info, "coordinator_started")
+      .field("node", m_settings.m_name)
+      .field("control", m_settings.m_controlAddress)
+      .field("peer", m_settings.m_peerAddress)
+      .field("identity", m_directory->identity())
+      .field("first_start", m_settings.m_firstStart)
+      .field("empty", m_directory->isEmpty());
+  m_roster.addSeeds(monotonicNow(), m_settings.m_seeds);
+  tickRoster();
+  if (m_directory->isEmpty()) {
+    m_bootstrap.emplace(m_self, m_directory->identity(), m_settings.m_seeds,
+                        m_settings.m_firstStart);
+    stepBootstrap();
+  } else {
+    startCore(m_directory->load());
+  }
+  return success();
+}
+
+void CoordinatorNode::run() {
+  m_loop.run();
+  LogSink::standard().setCollecting(false);
+}
+
+void CoordinatorNode::requestReload(CoordinatorSettings Settings) {
+  m_loop.post([this, Seeds = std::move(Settings.m_seeds)] {
+    m_roster.addSeeds(monotonicNow(), Seeds);
+    LogLine(LogLevel::Info, "settings_reloaded")
+        .field("node", m_settings.m_name)
+        .field("seeds", Seeds.size());
+  });
+}
+
+void CoordinatorNode::stepBootstrap() {
+  if (m_core)
+    return;
+  if (m_bootstrap->voters()) {
+    auto Written = m_directory->bootstrap(*m_bootstrap->voters());
+    if (!Written) {
+      LogLine(LogLevel::Error, "bootstrap_failed")
+          .field("reason", Written.error().m_message);
+      return m_loop.stop();
+    }
+  }
+  if (m_bootstrap->voters() || m_bootstrap->mustJoin()) {
+    LogLine(LogLevel::Info,
+            m_bootstrap->voters() ? "cluster_formed" : "joining_as_learner")
+        .field("node", m_settings.m_name)
+        .field("identity", m_directory->identity());
+    return startCore(m_directory->load());
+  }
+  sendAll(m_bootstrap->tick(monotonicNow()));
+  // The bootstrap sends every 200 ms.
+  m_loop.after(internal::CoreTick, [this] { stepBootstrap(); });
+}
+
+void CoordinatorNode::onBootstrapMessage(const ReceivedMessage &Message) {
+  Result<CoreMessage, PeerError> Read =
+      decodeCore(Message.m_kind, Message.m_bytes);
+  if (Read && m_bootstrap)
+    m_bootstrap->receive(Message.m_from,
+                         std::get<BootstrapMessage>(Read.value()));
+}
+
+void CoordinatorNode::startCore(const PersistentState &State) {
+  ControlCoreOptions Options;
+  Options.m_node = m_self;
+  Options.m_incarnation =
+      static_cast<std::uint64_t>(absl::GetCurrentTimeNanos());
+  Options.m_peers = m_roster.others();
+  m_core.emplace(std::move(Options), State, monotonicNow(), m_random);
+  m_driver.emplace(*m_core, &*m_directory, [this](ControlOutput Output) {
+    deliver(std::move(Output));
+  });
+  applyState();
+  turn();
+  tickCore();
+}
+
+void CoordinatorNode::tickCore() {
+  Instant Now = monotonicNow();
+  m_core->tick(Now, absl::Now(), m_random);
+  turn();
+  noteLeadership();
+  m_loop.after(internal::CoreTick, [this] { tickCore(); });
+}
+
+void CoordinatorNode::turn() {
+  m_driver->turn();
+  if (m_driver->storageFailed() && !m_stopping) {
+    // A restart reads the directory again; the other voters go on meanwhile.
+    LogLine(LogLevel::Error, "coordinator_ends").field("reason", "storage");
+    m_stopping = true;
+    m_loop.stop();
+  }
+}
+
+void CoordinatorNode::deliver(ControlOutput Output) {
+  sendAll(Output.m_messages);
+  for (const RaftEvent &Value : Output.m_events)
+    LogLine(LogLevel::Info, internal::nameOf(Value.m_kind))
+        .field("node", m_settings.m_name)
+        .field("subject", Value.m_voter.m_node)
+        .field("term", m_core->raft().term())
+        .field("commit", m_core->raft().commitIndex());
+  if (Output.m_stateChanged)
+    applyState();
+  for (const Completion &Done : Output.m_completions) {
+    if (Done.m_ticket == m_fenceTicket) {
+      m_fenceTicket = 0;
+      const auto *Granted = std::get_if<FencesGranted>(&Done.m_result);
+      if (Done.m_status == SubmitStatus::Committed && Granted != nullptr &&
+          m_ledTerm == m_core->raft().term())
+        m_fence = Granted->m_first;
+      continue;
+    }
+    auto Found = m_puts.find(Done.m_ticket);
+    if (Found == m_puts.end())
+      continue;
+    const auto *Set = std::get_if<RoutingSet>(&Done.m_result);
+    bool Committed = Done.m_status == SubmitStatus::Committed && Set != nullptr;
+    LogLine(LogLevel::Info, "routing_put_answered")
+        .field("ticket", Done.m_ticket)
+        .field("committed", Committed)
+        .field("in_force", Set != nullptr ? Set->m_version : 0)
+        .field("replaced", Set != nullptr && Set->m_replaced);
+    Found->second->respond(
+        Committed ? HttpResponse()
+                  : m_dialect.error(503, "not known to be in force"));
+    m_puts.erase(Found);
+  }
+}
+
+void CoordinatorNode::sendAll(const std::vector<AddressedMessage> &Messages) {
+  for (const AddressedMessage &Message : Messages) {
+    EncodedMessage Encoded = encodeCore(Message.m_message);
+    // A coordinator's identifier is its address.
+    auto Sent = m_transport->sendTo(Message.m_to.str(), Encoded.m_kind,
+                                    std::move(Encoded.m_bytes));
+    if (!Sent)
+      m_metrics.increment("turmericdyke_peer_messages_dropped_total",
+                          {{"peer", Message.m_to.str()}});
+  }
+}
+
+void CoordinatorNode::onPeerMessage(const ReceivedMessage &Message) {
+  Instant Now = monotonicNow();
+  if (Message.m_kind == PeerMessageKind::FeedRequest) {
+    Result<FeedRequest, PeerError> Read = decodeFeedRequest(Message.m_bytes);
+    if (!Read || Read.value().m_node != Message.m_from)
+      return m_metrics.increment("turmericdyke_peer_messages_refused_total");
+    FeedUpdate Update = m_feed.answer(Now, Read.value(), feedFacts());
+    // A lost answer is asked for again.
+    (void)m_transport->sendTo(Message.m_fromAddress,
+                              PeerMessageKind::FeedUpdate, encode(Update));
+    return;
+  }
+  m_roster.heard(Now, Message.m_from);
+  if (Message.m_kind == PeerMessageKind::Roster) {
+    Result<RosterMessage, PeerError> Read = decodeRoster(Message.m_bytes);
+    if (!Read)
+      return m_metrics.increment("turmericdyke_peer_messages_refused_total");
+    for (const NodeId &Node : Read.value().m_known)
+      m_roster.named(Now, Node);
+    return;
+  }
+  if (!m_core) {
+    if (Message.m_kind == PeerMessageKind::Bootstrap)
+      onBootstrapMessage(Message);
+    return;
+  }
+  Result<CoreMessage, PeerError> Read =
+      decodeCore(Message.m_kind, Message.m_bytes);
+  if (!Read) {
+    m_metrics.increment("turmericdyke_peer_messages_refused_total");
+    LogLine(LogLevel::Warning, "peer_message_refused")
+        .field("peer", Message.m_from)
+        .field("reason", Read.error().m_message);
+    return;
+  }
+  m_core->onMessage(Now, Message.m_from, Read.value(), m_random);
+  turn();
+}
+
+void CoordinatorNode::tickRoster() {
+  Instant Now = monotonicNow();
+  RosterMessage Message;
+  Message.m_known = m_roster.live(Now);
+  std::string Bytes = encode(Message);
+  for (const NodeId &Other : m_roster.others())
+    (void)m_transport->sendTo(Other.str(), PeerMessageKind::Roster, Bytes);
+  if (m_core) {
+    std::vector<NodeId> Voters;
+    for (const Voter &Member : m_core->raft().voters().m_voters) {
+      Voters.push_back(Member.m_node);
+      m_roster.named(Now, Member.m_node);
+    }
+    m_core->setCluster(m_roster.others(), m_roster.desiredVoters(Now, Voters));
+    m_roster.expire(Now, Voters);
+  }
+  m_loop.after(internal::RosterInterval, [this] { tickRoster(); });
+}
+
+void CoordinatorNode::applyState() {
+  const SetRouting &Routing = m_core->state().routing();
+  if (Routing.m_version <= m_catalog.m_version)
+    return;
+  Result<Catalog, CatalogError> Read =
+      m_dialect.readCatalog(Routing.m_document);
+  if (!Read) {
+    LogLine(LogLevel::Error, "routing_not_read")
+        .field("version", Routing.m_version)
+        .field("reason", Read.error().m_message);
+    return;
+  }
+  m_catalog = std::move(Read).value();
+  m_document = Routing.m_document;
+  LogLine(LogLevel::Info, "routing_in_force")
+      .field("version", m_catalog.m_version)
+      .field("routes", m_catalog.m_routes.size())
+      .field("services", m_catalog.m_services.size())
+      .field("index", m_core->state().appliedIndex());
+  planSoon();
+  pushFeed();
+}
+
+bool CoordinatorNode::leads() const {
+  return m_core && m_core->leads(monotonicNow());
+}
+
+std::string CoordinatorNode::controlAddressOf(const NodeId &Node) const {
+  std::string_view Peer = Node.str();
+  std::string_view Own = m_settings.m_controlAddress;
+  return std::string(Peer.substr(0, Peer.rfind(':'))) +
+         std::string(Own.substr(Own.rfind(':')));
+}
+
+void CoordinatorNode::onCall(std::shared_ptr<ServerExchange> Exchange) {
+  ControlCall Call = m_dialect.readCall(Exchange->request());
+  std::visit([&](const auto &Kind) { handle(Exchange, Kind); }, Call);
+}
+
+void CoordinatorNode::handle(const std::shared_ptr<ServerExchange> &Exchange,
+                             const WrongCall &Call) {
+  m_metrics.increment("turmericdyke_control_calls_refused_total");
+  LogLine(LogLevel::Warning, "control_call_refused")
+      .field("target", Exchange->request().m_target)
+      .field("status", Call.m_status)
+      .field("reason", Call.m_reason);
+  Exchange->respond(m_dialect.error(Call.m_status, Call.m_reason));
+}
+
+void CoordinatorNode::redirect(ServerExchange &Exchange) {
+  NodeId Leader = m_core ? m_core->raft().leader() : NodeId();
+  if (Leader.empty() || Leader == m_self)
+    return Exchange.respond(m_dialect.error(503, "no leader is known"));
+  HttpResponse Response;
+  Response.m_status = 307;
+  Response.m_fields.add("Location",
+                        fmt::format("http://{}{}", controlAddressOf(Leader),
+                                    Exchange.request().m_target));
+  Exchange.respond(Response);
+}
+
+void CoordinatorNode::handle(const std::shared_ptr<ServerExchange> &Exchange,
+                             const PutRoutingCall &Call) {
+  Result<Catalog, CatalogError> Read = m_dialect.readCatalog(Call.m_document);
+  std::optional<CatalogError> Fault;
+  if (!Read)
+    Fault = Read.error();
+  else
+    Fault = findFault(Read.value());
+  if (Fault) {
+    LogLine(LogLevel::Warning, "routing_refused")
+        .field("version", Read ? Read.value().m_version : 0)
+        .field("place", Fault->m_place)
+        .field("reason", Fault->m_message);
+    return Exchange->respond(
+        m_dialect.error(400, Fault->m_place + ": " + Fault->m_message));
+  }
+  if (!m_core || m_stopping)
+    return redirect(*Exchange);
+  std::uint64_t Version = Read.value().m_version;
+  if (leads() && Version <= m_catalog.m_version) {
+    LogLine(LogLevel::Info, "routing_put_overtaken")
+        .field("version", Version)
+        .field("in_force", m_catalog.m_version);
+    return Exchange->respond(HttpResponse());
+  }
+  std::uint64_t Ticket =
+      m_core->submit(monotonicNow(), SetRouting{Version, Call.m_document});
+  LogLine(LogLevel::Info, "routing_put_submitted")
+      .field("version", Version)
+      .field("ticket", Ticket)
+      .field("leader", m_core->raft().leader());
+  m_puts[Ticket] = Exchange;
+  m_core->tick(monotonicNow(), absl::Now(), m_random);
+  turn();
+}
+
+void CoordinatorNode::handle(const std::shared_ptr<ServerExchange> &Exchange,
+                             const GetRoutingCall &) {
+  if (!leads())
+    return redirect(*Exchange);
+  if (m_catalog.m_version == 0)
+    return Exchange->respond(
+        m_dialect.error(503, "no routing document is in force yet"));
+  Exchange->respond(m_dialect.document(m_document));
+}
+
+void CoordinatorNode::handle(const std::shared_ptr<ServerExchange> &Exchange,
+                             const AnnounceCall &Call) {
+  if (!leads() || m_stopping)
+    return redirect(*Exchange);
+  const ServerAnnouncement &Said = Call.m_announcement;
+  AnnouncementResult Taken = m_servers.announce(monotonicNow(), Said);
+  if (Taken == AnnouncementResult::Changed) {
+    LogLine(LogLevel::Info, "server_changed")
+        .field("target", Said.m_id)
+        .field("service", Said.m_service)
+        .field("address", Said.m_address)
+        .field("domain", Said.m_fabricDomain)
+        .field("draining", Said.m_draining)
+        .field("born_ms", Said.m_bornMillis)
+        .field("sequence", Said.m_sequence)
+        .field("group", Said.m_group ? Said.m_group->m_group : "")
+        .field("state", Said.m_group
+                            ? turmericdyke::nameOf(Said.m_group->m_state)
+                            : "none");
+    planSoon();
+    if (Said.m_draining)
+      plan();
+  }
+  m_metrics.increment("turmericdyke_announcements_total");
+  Exchange->respond(m_dialect.announced(m_settings.m_controlAddress));
+}
+
+void CoordinatorNode::handle(const std::shared_ptr<ServerExchange> &Exchange,
+                             const WithdrawCall &Call) {
+  if (!leads() || m_stopping)
+    return redirect(*Exchange);
+  bool Known = m_servers.withdraw(monotonicNow(), Call.m_id);
+  LogLine(LogLevel::Info, "server_withdrawn")
+      .field("target", Call.m_id)
+      .field("known", Known);
+  plan();
+  Exchange->respond(HttpResponse());
+}
+
+void CoordinatorNode::onMetrics(
+    const std::shared_ptr<ServerExchange> &Exchange) {
+  m_metrics.set("turmericdyke_leads", leads() ? 1 : 0);
+  m_metrics.set("turmericdyke_servers",
+                static_cast<double>(m_servers.all().size()));
+  m_metrics.set("turmericdyke_groups",
+                static_cast<double>(m_planner.groups().size()));
+  m_metrics.set("turmericdyke_loop_turns_total",
+                static_cast<double>(m_loop.turns()));
+  m_metrics.set("turmericdyke_log_lines_dropped",
+                static_cast<double>(LogSink::standard().dropped()));
+  HttpResponse Response;
+  Response.m_fields.add("Content-Type", "text/plain; version=0.0.4");
+  Response.m_body = m_metrics.prometheusText();
+  Exchange->respond(Response);
+}
+
+void CoordinatorNode::noteLeadership() {
+  Instant Now = monotonicNow();
+  const NodeId &Leader = m_core->raft().leader();
+  if (Leader != m_knownLeader) {
+    LogLine(LogLevel::Info, Leader.empty() ? "leader_lost" : "leader_known")
+        .field("node", m_settings.m_name)
+        .field("leader", Leader)
+        .field("term", m_core->raft().term());
+    m_knownLeader = Leader;
+  }
+  bool Leads = m_core->leads(Now);
+  if (!m_core->raft().isLeader() && m_ledTerm != 0) {
+    m_ledTerm = 0;
+    m_fence = 0;
+    m_planner.stop();
+    return;
+  }
+  if (Leads && m_ledTerm != m_core->raft().term()) {
+    m_ledTerm = m_core->raft().term();
+    m_ledSince = Now;
+    m_fence = 0;
+    m_planner.stop();
+    m_servers.clear();
+    m_feed.reset();
+    m_fenceTicket = m_core->submit(Now, AdvanceFence{m_self, 1});
+    planSoon();
+  }
+}
+
+bool CoordinatorNode::settled() const {
+  // The first leader ever has nothing to take up.
+  return m_fence == 1 ||
+         (m_fence > 1 && monotonicNow() - m_ledSince >= internal::SettleTime);
+}
+
+void CoordinatorNode::planSoon() {
+  planAt(monotonicNow() + internal::PlanDelay);
+}
+
+void CoordinatorNode::planAt(Instant When) {
+  if (m_planTimer && m_planTimer.m_when <= When)
+    return;
+  m_loop.cancel(m_planTimer);
+  m_planTimer = m_loop.at(When, [this] {
+    m_planTimer = EventLoop::Timer{};
+    plan();
+  });
+}
+
+void CoordinatorNode::plan() {
+  if (!leads() || m_ledTerm != m_core->raft().term())
+    return;
+  Instant Now = monotonicNow();
+  for (const TargetId &Id : m_servers.expire(Now, internal::ForgetSilence))
+    LogLine(LogLevel::Info, "server_forgotten").field("target", Id);
+  if (settled() && m_catalog.m_version > 0) {
+    if (!m_planner.leading())
+      m_planner.lead(m_fence);
+    GroupPlannerInput Input;
+    Input.m_servers = &m_servers;
+    Input.m_catalog = &m_catalog;
+    Input.m_trafficSeen = m_feed.trafficSeen();
+    for (const GroupOrder &Order : m_planner.step(Now, Input))
+      m_orders->send(Order, m_planner.fence());
+    for (const GroupEvent &Event : m_planner.takeEvents())
+      LogLine(LogLevel::Info, "group_phase")
+          .field("group", Event.m_group)
+          .field("model", Event.m_model)
+          .field("phase", turmericdyke::nameOf(Event.m_phase))
+          .field("reason", Event.m_reason)
+          .field("fence", m_planner.fence());
+  }
+  publishTargets();
+  planAt(Now + internal::PlanInterval);
+}
+
+std::vector<ServingTarget> CoordinatorNode::servingTargets() const {
+  Instant Now = monotonicNow();
+  std::vector<ServingTarget> Targets;
+  for (const auto &[Epoch, Group] : m_planner.groups()) {
+    if (Group.m_phase != GroupPhase::Serving)
+      continue;
+    const ServerRecord *Head = m_servers.find(Group.head());
+    const ServiceEntry *Service = m_catalog.service(Group.m_service);
+    if (Head == nullptr || Service == nullptr || !Service->m_engine)
+      continue;
+    Targets.push_back({Group.head(), Group.m_service, Head->m_said.m_address,
+                       Head->m_said.m_failureDomain, Group.m_model,
+                       Service->m_engine->m_slots, Epoch});
+  }
+  for (const auto &[Id, Server] : m_servers.all()) {
+    const ServerAnnouncement &Said = Server.m_said;
+    const ServiceEntry *Service = m_catalog.service(Said.m_service);
+    if (Service == nullptr || Service->m_engine || Said.m_draining ||
+        Now - Server.m_lastHeard >= internal::PlainSilence)
+      continue;
+    Targets.push_back({Id, Said.m_service, Said.m_address, Said.m_failureDomain,
+                       "", Said.m_slots,
+                       static_cast<std::uint64_t>(Said.m_bornMillis)});
+  }
+  return Targets;
+}
+
+void CoordinatorNode::publishTargets() {
+  m_feed.setTargets(servingTargets());
+  pushFeed();
+}
+
+FeedFacts CoordinatorNode::feedFacts() const {
+  FeedFacts Facts;
+  Facts.m_coordinators = m_roster.live(monotonicNow());
+  if (!m_core)
+    return Facts;
+  Facts.m_term = m_core->raft().term();
+  Facts.m_leader = m_core->raft().leader();
+  Facts.m_leads = leads() && m_ledTerm == Facts.m_term;
+  Facts.m_complete = settled() && m_planner.leading();
+  Facts.m_routingVersion = m_catalog.m_version;
+  Facts.m_routingDocument = &m_document;
+  return Facts;
+}
+
+void CoordinatorNode::pushFeed() {
+  if (m_pushDue)
+    return;
+  m_pushDue = true;
+  m_loop.after(internal::PushDelay, [this] {
+    m_pushDue = false;
+    for (const auto &[Node, Update] :
+         m_feed.pushes(monotonicNow(), feedFacts()))
+      // What is lost is asked for again with the next request.
+      (void)m_transport->sendTo(Node.str(), PeerMessageKind::FeedUpdate,
+                                encode(Update));
+  });
+}
+
+void CoordinatorNode::requestStop() {
+  m_loop.post([this] { beginStop(); });
+}
+
+void CoordinatorNode::beginStop() {
+  if (m_stopping)
+    return;
+  m_stopping = true;
+  m_stopBegun = monotonicNow();
+  LogLine(LogLevel::Info, "stop_begun")
+      .field("node", m_settings.m_name)
+      .field("leads", leads());
+  if (m_core && m_core->raft().isLeader()) {
+    m_core->handOver(m_stopBegun);
+    turn();
+  }
+  m_control->closeAfterAnswers();
+  pollStop();
+}
+
+void CoordinatorNode::pollStop() {
+  bool Leads = m_core && m_core->raft().isLeader();
+  bool Busy = Leads || m_control->exchanges() > 0;
+  if (!Busy || monotonicNow() - m_stopBegun >= internal::StopWait) {
+    LogLine(LogLevel::Info, "coordinator_stopped")
+        .field("node", m_settings.m_name)
+        .field("still_led", Leads);
+    return m_loop.stop();
+  }
+  m_loop.after(internal::StopPoll, [this] { pollStop(); });
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -0,0 +1,290 @@
+#include "turmericdyke/src/Entry/EntryNode.h"
+
+#include <utility>
+#include <vector>
+
+#include "absl/time/clock.h"
+#include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Base/LogSink.h"
+#include "turmericdyke/src/Entry/EntryDialect.h"
+#include "turmericdyke/src/Entry/EntryExchange.h"
+#include "turmericdyke/src/Http/ServerExchange.h"
+#include "turmericdyke/src/Peer/PeerTransport.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+/// The balancer asks once a second and stops sending after two misses; callers
+/// that were sent here by then are still accepted.
+constexpr absl::Duration BalancerNotice = absl::Milliseconds(3000);
+/// Ends the process this long before the platform would kill it.
+constexpr absl::Duration StopMargin = absl::Milliseconds(300);
+constexpr absl::Duration StopPoll = absl::Milliseconds(50);
+/// Descriptors kept for files, peers and targets beside callers' connections.
+constexpr std::size_t ReservedDescriptors = 600;
+
+} // namespace
+} // namespace internal
+
+EntryNode::EntryNode(EntrySettings Settings, const EntryDialect &Dialect)
+    : m_settings(std::move(Settings)), m_dialect(Dialect) {
+  m_feed = std::make_unique<FeedFollower>(NodeId(m_settings.m_peerAddress),
+                                          m_settings.m_seeds);
+  m_pool = std::make_unique<HttpClientPool>(
+      m_loop, ClientConnectionOptions(), [this] {
+        m_services->m_metrics.increment("turmericdyke_target_connects_total");
+      });
+  m_services = std::make_unique<EntryServices>(m_loop, m_dialect, m_settings,
+                                               *m_feed, *m_pool);
+}
+
+EntryNode::~EntryNode() {
+  if (m_transport)
+    m_transport->stop();
+}
+
+Result<void, EntryError> EntryNode::start() {
+  auto OnEvent = [this](HttpServerEvent Event) { onServerEvent(Event); };
+  m_callers = std::make_unique<HttpServer>(
+      m_loop,
+      [this](std::shared_ptr<ServerExchange> Exchange) {
+        onCaller(std::move(Exchange));
+      },
+      OnEvent);
+  m_readiness = std::make_unique<HttpServer>(
+      m_loop,
+      [this](const std::shared_ptr<ServerExchange> &Exchange) {
+        onReadiness(Exchange);
+      },
+      [](HttpServerEvent) {});
+  m_scrapes = std::make_unique<HttpServer>(
+      m_loop,
+      [this](const std::shared_ptr<ServerExchange> &Exchange) {
+        onMetrics(Exchange);
+      },
+      [](HttpServerEvent) {});
+  HttpServerLimits Limits = m_callers->limits();
+  if (m_settings.m_maxDescriptors > 2 * internal::ReservedDescriptors)
+    Limits.m_connections =
+        m_settings.m_maxDescriptors - internal::ReservedDescriptors;
+  m_callers->setLimits(Limits);
+  for (auto [Server, Address] :
+       {std::pair{m_callers.get(), m_settings.m_callerAddress},
+        std::pair{m_readiness.get(), m_settings.m_readinessAddress},
+        std::pair{m_scrapes.get(), m_settings.m_metricsAddress}}) {
+    if (Address.empty())
+      continue;
+    if (Result<void, SocketError> Listening = Server->listen(Address);
+        !Listening)
+      return failure(EntryError{Listening.error().m_message});
+  }
+  PeerTransportOptions Options;
+  Options.m_identity.m_node = NodeId(m_settings.m_peerAddress);
+  Options.m_identity.m_incarnation =
+      static_cast<std::uint64_t>(absl::GetCurrentTimeNanos());
+  Options.m_identity.m_address = m_settings.m_peerAddress;
+  Options.m_listenAddress = m_settings.m_peerAddress;
+  Options.m_clusterSecret = m_settings.m_clusterSecret;
+  auto Transport =
+      PeerTransport::start(Options, [this](ReceivedMessage Message) {
+        m_loop.post([this, Held = std::move(Message)] { onPeerMessage(Held); });
+      });
+  if (!Transport)
+    return failure(EntryError{Transport.error().m_message});
+  m_transport = std::move(Transport).value();
+  LogSink::standard().setCollecting(true);
+  m_loop.setAfterTurn([] { LogSink::standard().flush(); });
+  LogLine(LogLevel::Info, "entry_started")
+      .field("node", m_settings.m_name)
+      .field("callers", m_settings.m_callerAddress)
+      .field("peer", m_settings.m_peerAddress)
+      .field("seeds", m_settings.m_seeds.size());
+  tickFeed();
+  return success();
+}
+
+void EntryNode::run() {
+  m_loop.run();
+  LogSink::standard().setCollecting(false);
+}
+
+void EntryNode::requestReload(EntrySettings Settings) {
+  m_loop.post([this, Seeds = std::move(Settings.m_seeds)] {
+    m_feed->addSeeds(Seeds);
+    LogLine(LogLevel::Info, "settings_reloaded")
+        .field("node", m_settings.m_name)
+        .field("seeds", Seeds.size());
+  });
+}
+
+void EntryNode::onCaller(std::shared_ptr<ServerExchange> Exchange) {
+  std::make_shared<EntryExchange>(*m_services, std::move(Exchange))->begin();
+}
+
+bool EntryNode::ready() const {
+  return !m_stopping && m_services->m_routes != nullptr &&
+         monotonicNow() < m_feed->leaseUntil();
+}
+
+void EntryNode::onReadiness(const std::shared_ptr<ServerExchange> &Exchange) {
+  HttpResponse Response;
+  if (!m_dialect.asksReadiness(Exchange->request()))
+    Response.m_status = 404;
+  else if (!ready())
+    Response.m_status = 503;
+  Exchange->respond(Response);
+}
+
+void EntryNode::onMetrics(const std::shared_ptr<ServerExchange> &Exchange) {
+  m_services->m_metrics.set("turmericdyke_caller_connections",
+                            static_cast<double>(m_callers->connections()));
+  m_services->m_metrics.set("turmericdyke_log_lines_dropped",
+                            static_cast<double>(LogSink::standard().dropped()));
+  m_services->m_metrics.set("turmericdyke_loop_turns_total",
+                            static_cast<double>(m_loop.turns()));
+  HttpResponse Response;
+  Response.m_fields.add("Content-Type", "text/plain; version=0.0.4");
+  Response.m_body = m_services->m_metrics.prometheusText();
+  Exchange->respond(Response);
+}
+
+void EntryNode::onServerEvent(HttpServerEvent Event) {
+  m_services->m_metrics.increment("turmericdyke_caller_events_total",
+                                  {{"event", nameOf(Event)}});
+  if (Event != HttpServerEvent::Accepted)
+    LogLine(LogLevel::Info, "caller_refused").field("reason", nameOf(Event));
+}
+
+void EntryNode::tickFeed() {
+  Instant Now = monotonicNow();
+  noteInformed();
+  for (FeedFollower::Asking &Ask : m_feed->tick(Now)) {
+    for (const auto &[Target, Count] : m_services->m_uses)
+      Ask.m_request.m_uses.push_back({Target, Count});
+    // Demand is told once, to the leader.
+    if (Ask.m_coordinator == m_feed->leader()) {
+      for (const auto &[Model, Count] : m_services->m_demand)
+        Ask.m_request.m_demand.push_back({Model, Count});
+      m_services->m_demand.clear();
+    }
+    Ask.m_request.m_stopping = m_stopping;
+    auto Sent = m_transport->sendTo(Ask.m_coordinator.str(),
+                                    PeerMessageKind::FeedRequest,
+                                    encode(Ask.m_request));
+    if (!Sent)
+      LogLine(LogLevel::Warning, "feed_request_not_sent")
+          .field("coordinator", Ask.m_coordinator)
+          .field("reason", Sent.error().m_message);
+  }
+  m_loop.cancel(m_feedTimer);
+  m_feedTimer = m_loop.at(m_feed->nextTick(), [this] { tickFeed(); });
+}
+
+void EntryNode::onPeerMessage(const ReceivedMessage &Message) {
+  if (Message.m_kind != PeerMessageKind::FeedUpdate)
+    return;
+  Result<FeedUpdate, PeerError> Read = decodeFeedUpdate(Message.m_bytes);
+  if (!Read) {
+    LogLine(LogLevel::Warning, "feed_update_refused")
+        .field("from", Message.m_from)
+        .field("reason", Read.error().m_message);
+    return;
+  }
+  Instant Now = monotonicNow();
+  FeedChange Change = m_feed->receive(Now, Read.value());
+  if (Change.m_leaderChanged)
+    LogLine(LogLevel::Info, "leader_followed")
+        .field("leader", m_feed->leader())
+        .field("term", m_feed->term());
+  if (Change.m_routingDocument)
+    takeRouting(*Change.m_routingDocument, Change.m_routingVersion);
+  for (const TargetId &Ended : Change.m_ended) {
+    LogLine(LogLevel::Info, "target_ended")
+        .field("target", Ended)
+        .field("term", m_feed->term())
+        .field("running_here", m_services->m_uses.count(Ended) > 0
+                                   ? m_services->m_uses.at(Ended)
+                                   : 0);
+    auto Found = m_services->m_attempts.find(Ended);
+    if (Found == m_services->m_attempts.end())
+      continue;
+    std::set<EntryExchange *> Running = Found->second;
+    for (EntryExchange *Exchange : Running)
+      Exchange->onTargetEnded();
+  }
+  noteInformed();
+  if (m_feed->nextTick() <= Now)
+    tickFeed();
+}
+
+void EntryNode::takeRouting(std::string_view Document, std::uint64_t Version) {
+  Result<Catalog, CatalogError> Read = m_dialect.readCatalog(Document);
+  if (!Read) {
+    LogLine(LogLevel::Error, "routing_not_read")
+        .field("version", Version)
+        .field("place", Read.error().m_place)
+        .field("reason", Read.error().m_message);
+    return;
+  }
+  m_feed->routingInForce(Version);
+  HttpServerLimits Limits = m_callers->limits();
+  const CallerLimits &Stated = Read.value().m_limits;
+  Limits.m_headBytes = Stated.m_headBytes;
+  Limits.m_bodyBytes = Stated.m_bodyBytes;
+  Limits.m_headTime = Stated.m_headTime;
+  Limits.m_idleTime = Stated.m_idleTime;
+  m_callers->setLimits(Limits);
+  LogLine(LogLevel::Info, "routing_in_force")
+      .field("version", Version)
+      .field("routes", Read.value().m_routes.size())
+      .field("customers", Read.value().m_customers.size());
+  m_services->m_routes =
+      std::make_shared<const RouteTable>(std::move(Read).value());
+}
+
+void EntryNode::noteInformed() {
+  bool Informed = monotonicNow() < m_feed->leaseUntil();
+  if (Informed == m_informed)
+    return;
+  m_informed = Informed;
+  LogLine(Informed ? LogLevel::Info : LogLevel::Warning,
+          Informed ? "coordinators_regained" : "coordinators_lost")
+      .field("leader", m_feed->leader())
+      .field("term", m_feed->term());
+}
+
+void EntryNode::requestStop() {
+  m_loop.post([this] { beginStop(); });
+}
+
+void EntryNode::beginStop() {
+  if (m_stopping)
+    return;
+  m_stopping = true;
+  m_stopBegun = monotonicNow();
+  LogLine(LogLevel::Info, "stop_begun")
+      .field("node", m_settings.m_name)
+      .field("requests", m_callers->exchanges());
+  m_callers->closeAfterAnswers();
+  pollStop();
+}
+
+void EntryNode::pollStop() {
+  Instant Now = monotonicNow();
+  bool Late =
+      Now - m_stopBegun >= m_settings.m_stopGrace - internal::StopMargin;
+  bool Noticed = Now - m_stopBegun >= internal::BalancerNotice;
+  if (Noticed)
+    m_callers->closeIdle();
+  if (Late || (Noticed && m_callers->exchanges() == 0)) {
+    LogLine(LogLevel::Info, "entry_stopped")
+        .field("node", m_settings.m_name)
+        .field("cut_off", m_callers->exchanges());
+    return m_loop.stop();
+  }
+  m_loop.after(internal::StopPoll, [this] { pollStop(); });
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "absl/random/random.h"
+#include "turmericdyke/src/Base/Metrics.h"
+#include "turmericdyke/src/Catalog/RouteTable.h"
+#include "turmericdyke/src/Entry/EntrySettings.h"
+#include "turmericdyke/src/Feed/FeedFollower.h"
+#include "turmericdyke/src/Http/HttpClientPool.h"
+#include "turmericdyke/src/Loop/EventLoop.h"
+#include "turmericdyke/src/Serving/Placement.h"
+#include "turmericdyke/src/Serving/TargetHealth.h"
+
+namespace turmericdyke {
+
+class EntryDialect;
+class EntryExchange;
+
+/// What the requests of an entry node share. Belongs to the loop's thread.
+struct EntryServices {
+  EntryServices(EventLoop &Loop, const EntryDialect &Dialect,
+                const EntrySettings &Settings, FeedFollower &Feed,
+                HttpClientPool &Pool)
+      : m_loop(Loop), m_dialect(Dialect), m_settings(Settings), m_feed(Feed),
+        m_pool(Pool) {}
+
+  EventLoop &m_loop;
+  const EntryDialect &m_dialect;
+  const EntrySettings &m_settings;
+  FeedFollower &m_feed;
+  HttpClientPool &m_pool;
+  /// Null before the first routing document.
+  std::shared_ptr<const RouteTable> m_routes;
+  TargetHealth m_health;
+  PlacementOptions m_placement;
+  std::map<ServiceId, RepeatAllowance> m_repeats;
+  /// Requests of this node at each target.
+  std::map<TargetId, std::int64_t> m_uses;
+  /// Requests for each model since the last report.
+  std::map<std::string, std::int64_t> m_demand;
+  /// Exchanges with an attempt at a target, for the end of groups.
+  std::map<TargetId, std::set<EntryExchange *>> m_attempts;
+  MetricsRegistry m_metrics;
+  absl::BitGen m_random;
+
+  RepeatAllowance &repeats(const ServiceId &Service);
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/entry/turmericdyke/src/Entry/EntrySettings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "turmericdyke/src/Base/StringId.h"
+#include "turmericdyke/src/Serving/RepeatAllowance.h"
+
+namespace turmericdyke {
+
+/// Settings of an entry node after they were checked.
+struct EntrySettings {
+  /// Name in logs.
+  std::string m_name;
+  FailureDomainId m_failureDomain;
+  /// IP:port for callers, for the balancer's question, and for scrapes.
+  std::string m_callerAddress;
+  std::string m_readinessAddress;
+  std::string m_metricsAddress;
+  /// IP:port for other nodes; also this node's identifier among them.
+  std::string m_peerAddress;
+  std::string m_clusterSecret;
+  /// Peer addresses of coordinators.
+  std::vector<NodeId> m_seeds;
+  /// From the signal to stop until the process is killed.
+  absl::Duration m_stopGrace = absl::Seconds(8);
+  /// Descriptors that the process may hold.
+  std::size_t m_maxDescriptors = 4096;
+  RepeatAllowanceOptions m_repeats;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
@@ -0,0 +1,90 @@
+#include "turmericdyke/src/Feed/CoordinatorRoster.h"
+
+#include <algorithm>
+
+namespace turmericdyke {
+
+CoordinatorRoster::CoordinatorRoster(NodeId Self,
+                                     CoordinatorRosterOptions Options)
+    : m_self(std::move(Self)), m_options(Options) {}
+
+void CoordinatorRoster::heard(Instant Now, const NodeId &From) {
+  if (From == m_self)
+    return;
+  Known &Entry = m_known[From];
+  Entry.m_named = Now;
+  Entry.m_heard = Now;
+}
+
+void CoordinatorRoster::named(Instant Now, const NodeId &Node) {
+  // Naming alone does not keep a coordinator on the list, or two nodes would
+  // keep a dead one alive between them.
+  if (Node != m_self)
+    m_known.try_emplace(Node, Known{Now, absl::InfinitePast()});
+}
+
+void CoordinatorRoster::addSeeds(Instant Now, absl::Span<const NodeId> Seeds) {
+  for (const NodeId &Seed : Seeds)
+    named(Now, Seed);
+}
+
+std::vector<NodeId> CoordinatorRoster::others() const {
+  std::vector<NodeId> All;
+  for (const auto &[Node, Entry] : m_known)
+    All.push_back(Node);
+  return All;
+}
+
+bool CoordinatorRoster::silent(Instant Now, const NodeId &Node,
+                               absl::Duration For) const {
+  if (Node == m_self)
+    return false;
+  auto Found = m_known.find(Node);
+  // An unknown voter counts from when this node could first have heard of it,
+  // which `named` sets.
+  if (Found == m_known.end())
+    return true;
+  return Now - std::max(Found->second.m_heard, Found->second.m_named) >= For;
+}
+
+std::vector<NodeId> CoordinatorRoster::live(Instant Now) const {
+  std::vector<NodeId> Live = {m_self};
+  for (const auto &[Node, Entry] : m_known)
+    if (Now - Entry.m_heard < m_options.m_silentAfter)
+      Live.push_back(Node);
+  return Live;
+}
+
+std::vector<NodeId>
+CoordinatorRoster::desiredVoters(Instant Now,
+                                 absl::Span<const NodeId> Voters) const {
+  std::vector<NodeId> Candidates;
+  for (const NodeId &Node : live(Now))
+    if (std::find(Voters.begin(), Voters.end(), Node) == Voters.end())
+      Candidates.push_back(Node);
+  std::vector<NodeId> Desired(Voters.begin(), Voters.end());
+  for (const NodeId &Voter : Voters) {
+    if (Candidates.empty())
+      break;
+    if (Desired.size() < m_options.m_voters ||
+        !silent(Now, Voter, m_options.m_replaceAfter))
+      continue;
+    std::replace(Desired.begin(), Desired.end(), Voter, Candidates.back());
+    Candidates.pop_back();
+  }
+  while (Desired.size() < m_options.m_voters && !Candidates.empty()) {
+    Desired.push_back(Candidates.back());
+    Candidates.pop_back();
+  }
+  return Desired;
+}
+
+void CoordinatorRoster::expire(Instant Now, absl::Span<const NodeId> Voters) {
+  std::erase_if(m_known, [&](const auto &Entry) {
+    return Now - std::max(Entry.second.m_heard, Entry.second.m_named) >=
+               m_options.m_forgetAfter &&
+           std::find(Voters.begin(), Voters.end(), Entry.first) == Voters.end();
+  });
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -0,0 +1,130 @@
+#include "turmericdyke/src/Feed/FeedFollower.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace turmericdyke {
+
+FeedFollower::FeedFollower(NodeId Self, std::vector<NodeId> Seeds,
+                           FeedFollowerOptions Options)
+    : m_self(std::move(Self)), m_options(Options),
+      m_coordinators(std::move(Seeds)) {
+  assert(!m_coordinators.empty() && "an entry node needs a seed");
+}
+
+void FeedFollower::addSeeds(const std::vector<NodeId> &Seeds) {
+  for (const NodeId &Seed : Seeds)
+    if (std::find(m_coordinators.begin(), m_coordinators.end(), Seed) ==
+        m_coordinators.end())
+      m_coordinators.push_back(Seed);
+}
+
+std::vector<FeedFollower::Asking> FeedFollower::tick(Instant Now) {
+  std::vector<Asking> Due;
+  if (Now < m_nextAsk)
+    return Due;
+  m_nextAsk = Now + m_options.m_interval;
+  FeedRequest Request;
+  Request.m_node = m_self;
+  Request.m_sentAtMicros = absl::ToUnixMicros(Now);
+  Request.m_term = m_term;
+  Request.m_sequence = m_sequence;
+  Request.m_routingVersion = m_routingVersion;
+  bool Answering = Now - m_lastAnswer < m_options.m_patience;
+  if (!m_leader.empty())
+    Due.push_back({m_leader, Request});
+  if (m_leader.empty() || !Answering) {
+    m_next = (m_next + 1) % m_coordinators.size();
+    if (m_coordinators[m_next] != m_leader)
+      Due.push_back({m_coordinators[m_next], Request});
+  }
+  return Due;
+}
+
+FeedChange FeedFollower::receive(Instant Now, const FeedUpdate &Update) {
+  FeedChange Change;
+  addSeeds(Update.m_coordinators);
+  if (Update.m_term < m_term)
+    return Change;
+  if (!Update.m_leads) {
+    // Only a hint: it is followed while no leader answers, or to a newer term.
+    bool Answering = Now - m_lastAnswer < m_options.m_patience;
+    if (!Update.m_leader.empty() && Update.m_leader != m_leader &&
+        (!Answering || Update.m_term > m_term)) {
+      m_leader = Update.m_leader;
+      m_nextAsk = Now;
+      Change.m_leaderChanged = true;
+    }
+    return Change;
+  }
+  if (Update.m_term > m_term) {
+    m_term = Update.m_term;
+    m_sequence = 0;
+    m_complete = false;
+    Change.m_leaderChanged = true;
+  }
+  m_leader = Update.m_leader;
+  m_lastAnswer = Now;
+  m_entries = std::max<std::int64_t>(1, Update.m_entries);
+  if (Update.m_echoMicros > 0)
+    m_leaseUntil =
+        std::max(m_leaseUntil,
+                 absl::FromUnixMicros(Update.m_echoMicros) + m_options.m_lease);
+  if (Update.m_routingVersion > m_routingVersion &&
+      !Update.m_routingDocument.empty()) {
+    Change.m_routingDocument = Update.m_routingDocument;
+    Change.m_routingVersion = Update.m_routingVersion;
+  }
+  m_others.clear();
+  for (const TargetUse &Use : Update.m_othersUse)
+    m_others[Use.m_target] = Use.m_requests;
+  m_othersHeard = Now;
+  // An update from another state than the one held here would leave a gap; the
+  // next request says what is held.
+  if (Update.m_from <= m_sequence)
+    takeTargets(Update, Change);
+  return Change;
+}
+
+void FeedFollower::takeTargets(const FeedUpdate &Update, FeedChange &Change) {
+  if (Update.m_sequence < m_sequence)
+    return;
+  for (const ServingTarget &Target : Update.m_targets) {
+    ServingTarget &Known = m_targets[Target.m_id];
+    if (!(Known == Target)) {
+      if (!Known.m_id.empty() && Known.m_generation != Target.m_generation)
+        Change.m_ended.push_back(Target.m_id);
+      Known = Target;
+      Change.m_targetsChanged = true;
+    }
+    m_listedIn[Target.m_id] = Update.m_term;
+  }
+  for (const TargetId &Removed : Update.m_removed) {
+    m_listedIn.erase(Removed);
+    if (m_targets.erase(Removed) > 0)
+      Change.m_ended.push_back(Removed);
+  }
+  if (Update.m_complete && !m_complete) {
+    // A new leader has heard of everything that lives: what it never listed has
+    // ended.
+    for (auto At = m_targets.begin(); At != m_targets.end();) {
+      auto Listed = m_listedIn.find(At->first);
+      if (Listed != m_listedIn.end() && Listed->second == Update.m_term) {
+        ++At;
+        continue;
+      }
+      Change.m_ended.push_back(At->first);
+      At = m_targets.erase(At);
+    }
+  }
+  m_complete = Update.m_complete;
+  m_sequence = Update.m_sequence;
+  Change.m_targetsChanged = Change.m_targetsChanged || !Change.m_ended.empty();
+}
+
+std::int64_t FeedFollower::othersUse(const TargetId &Target) const {
+  auto Found = m_others.find(Target);
+  return Found == m_others.end() ? 0 : Found->second;
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -0,0 +1,175 @@
+#include "turmericdyke/src/Fleet/FeedMessage.h"
+
+#include "turmericdyke/src/Fleet/JsonReader.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t MaxFeedEntries = 4096;
+
+Json entryJson(const NodeId &Value) { return Value.str(); }
+Json entryJson(const TargetId &Value) { return Value.str(); }
+Json entryJson(const TargetUse &Value) {
+  return {{"t", Value.m_target.str()}, {"n", Value.m_requests}};
+}
+Json entryJson(const ModelDemand &Value) {
+  return {{"m", Value.m_model}, {"n", Value.m_requests}};
+}
+Json entryJson(const ServingTarget &Value) {
+  return {{"t", Value.m_id.str()},  {"s", Value.m_service.str()},
+          {"a", Value.m_address},   {"d", Value.m_failureDomain.str()},
+          {"m", Value.m_model},     {"n", Value.m_slots},
+          {"g", Value.m_generation}};
+}
+
+template <class Entry> Json listJson(const std::vector<Entry> &Entries) {
+  Json List = Json::array();
+  for (const Entry &Value : Entries)
+    List.push_back(entryJson(Value));
+  return List;
+}
+
+template <class Tag>
+void readEntry(const Json &Value, StringId<Tag> &Entry, JsonReader &Outer) {
+  if (Value.is_string())
+    Entry = StringId<Tag>(Value.get<std::string>());
+  else
+    Outer.fail("list", "holds something that is no text");
+}
+
+void keepError(const JsonReader &Inner, JsonReader &Outer) {
+  if (Inner.error())
+    Outer.fail("list", *Inner.error());
+}
+
+void readEntry(const Json &Value, TargetUse &Entry, JsonReader &Outer) {
+  JsonReader Reader(Value);
+  Reader.id("t", Entry.m_target, true).number("n", Entry.m_requests);
+  keepError(Reader, Outer);
+}
+
+void readEntry(const Json &Value, ModelDemand &Entry, JsonReader &Outer) {
+  JsonReader Reader(Value);
+  Reader.text("m", Entry.m_model, true).number("n", Entry.m_requests);
+  keepError(Reader, Outer);
+}
+
+void readEntry(const Json &Value, ServingTarget &Entry, JsonReader &Outer) {
+  JsonReader Reader(Value);
+  Reader.id("t", Entry.m_id, true)
+      .id("s", Entry.m_service, true)
+      .text("a", Entry.m_address, true)
+      .id("d", Entry.m_failureDomain)
+      .text("m", Entry.m_model)
+      .number("n", Entry.m_slots)
+      .number("g", Entry.m_generation);
+  keepError(Reader, Outer);
+}
+
+template <class Entry>
+void readList(JsonReader &Reader, const char *Field,
+              std::vector<Entry> &Entries) {
+  const Json *List = Reader.list(Field);
+  if (List == nullptr)
+    return;
+  if (List->size() > MaxFeedEntries)
+    return Reader.fail(Field, "has too many entries");
+  for (const Json &Value : *List) {
+    Entry Read;
+    readEntry(Value, Read, Reader);
+    Entries.push_back(std::move(Read));
+  }
+}
+
+template <class Message>
+Result<Message, FleetError> finish(const JsonReader &Reader, Message &Read) {
+  if (Reader.error())
+    return failure(*Reader.error());
+  return std::move(Read);
+}
+
+} // namespace
+} // namespace internal
+
+nlohmann::json toJson(const RosterMessage &Message) {
+  return {{"known", internal::listJson(Message.m_known)}};
+}
+
+nlohmann::json toJson(const FeedRequest &Message) {
+  return {{"node", Message.m_node.str()},
+          {"sent_us", Message.m_sentAtMicros},
+          {"term", Message.m_term},
+          {"sequence", Message.m_sequence},
+          {"routing", Message.m_routingVersion},
+          {"uses", internal::listJson(Message.m_uses)},
+          {"demand", internal::listJson(Message.m_demand)},
+          {"stopping", Message.m_stopping}};
+}
+
+nlohmann::json toJson(const FeedUpdate &Message) {
+  return {{"term", Message.m_term},
+          {"leader", Message.m_leader.str()},
+          {"leads", Message.m_leads},
+          {"coordinators", internal::listJson(Message.m_coordinators)},
+          {"echo_us", Message.m_echoMicros},
+          {"from", Message.m_from},
+          {"sequence", Message.m_sequence},
+          {"complete", Message.m_complete},
+          {"targets", internal::listJson(Message.m_targets)},
+          {"removed", internal::listJson(Message.m_removed)},
+          {"others", internal::listJson(Message.m_othersUse)},
+          {"entries", Message.m_entries},
+          {"routing", Message.m_routingVersion},
+          {"document", Message.m_routingDocument}};
+}
+
+Result<RosterMessage, FleetError>
+parseRosterMessage(const nlohmann::json &Value) {
+  RosterMessage Read;
+  internal::JsonReader Reader(Value);
+  internal::readList(Reader, "known", Read.m_known);
+  return internal::finish(Reader, Read);
+}
+
+Result<FeedRequest, FleetError> parseFeedRequest(const nlohmann::json &Value) {
+  FeedRequest Read;
+  internal::JsonReader Reader(Value);
+  Reader.id("node", Read.m_node, true)
+      .number("sent_us", Read.m_sentAtMicros)
+      .number("term", Read.m_term)
+      .number("sequence", Read.m_sequence)
+      .number("routing", Read.m_routingVersion)
+      .flag("stopping", Read.m_stopping);
+  internal::readList(Reader, "uses", Read.m_uses);
+  internal::readList(Reader, "demand", Read.m_demand);
+  return internal::finish(Reader, Read);
+}
+
+Result<FeedUpdate, FleetError> parseFeedUpdate(const nlohmann::json &Value) {
+  FeedUpdate Read;
+  internal::JsonReader Reader(Value);
+  Reader.number("term", Read.m_term)
+      .id("leader", Read.m_leader)
+      .flag("leads", Read.m_leads)
+      .number("echo_us", Read.m_echoMicros)
+      .number("from", Read.m_from)
+      .number("sequence", Read.m_sequence)
+      .flag("complete", Read.m_complete)
+      .number("entries", Read.m_entries)
+      .number("routing", Read.m_routingVersion);
+  // A text of the reader is short; the document is an operator's whole file.
+  auto Document = Value.find("document");
+  if (Document != Value.end() && Document->is_string())
+    Read.m_routingDocument = Document->get<std::string>();
+  internal::readList(Reader, "coordinators", Read.m_coordinators);
+  internal::readList(Reader, "targets", Read.m_targets);
+  internal::readList(Reader, "removed", Read.m_removed);
+  internal::readList(Reader, "others", Read.m_othersUse);
+  return internal::finish(Reader, Read);
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "turmericdyke/src/Base/Result.h"
+#include "turmericdyke/src/Base/StringId.h"
+#include "turmericdyke/src/Fleet/FleetError.h"
+
+namespace turmericdyke {
+
+/// Sent between coordinators at intervals: the ones that the sender knows.
+struct RosterMessage {
+  std::vector<NodeId> m_known;
+};
+
+/// A server that takes requests: one of a plain service, or the head of an open
+/// group.
+struct ServingTarget {
+  TargetId m_id;
+  ServiceId m_service;
+  std::string m_address;
+  FailureDomainId m_failureDomain;
+  /// Empty for a plain service.
+  std::string m_model;
+  std::int64_t m_slots = 1;
+  /// Tells this formation of the group, or life of the server, from earlier
+  /// ones under the same identifier.
+  std::uint64_t m_generation = 0;
+
+  friend bool operator==(const ServingTarget &,
+                         const ServingTarget &) = default;
+};
+
+/// Requests that an entry node has running or queued at a target.
+struct TargetUse {
+  TargetId m_target;
+  std::int64_t m_requests = 0;
+};
+
+/// What callers asked of a model since the entry node's last report.
+struct ModelDemand {
+  std::string m_model;
+  std::int64_t m_requests = 0;
+};
+
+/// From an entry node to a coordinator: what it has, and what it uses.
+struct FeedRequest {
+  NodeId m_node;
+  /// On the sender's clock; echoed, so that the sender can date what it learns.
+  std::int64_t m_sentAtMicros = 0;
+  /// Term and sequence of the newest update it holds.
+  std::uint64_t m_term = 0;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_routingVersion = 0;
+  std::vector<TargetUse> m_uses;
+  std::vector<ModelDemand> m_demand;
+  bool m_stopping = false;
+};
+
+/// From a coordinator to an entry node. One that does not lead says only who
+/// does.
+struct FeedUpdate {
+  std::uint64_t m_term = 0;
+  NodeId m_leader;
+  /// The sender leads and holds the leader lease.
+  bool m_leads = false;
+  std::vector<NodeId> m_coordinators;
+  /// The send time of the request that this answers; 0 if it answers none.
+  std::int64_t m_echoMicros = 0;
+  /// The update leads from one sequence to another. 0 means from nothing.
+  std::uint64_t m_from = 0;
+  std::uint64_t m_sequence = 0;
+  /// The leader has heard of all servers that live: what it does not list has
+  /// ended.
+  bool m_complete = false;
+  std::vector<ServingTarget> m_targets;
+  std::vector<TargetId> m_removed;
+  /// Requests of the other entry nodes at each target.
+  std::vector<TargetUse> m_othersUse;
+  /// Entry nodes that the leader hears of.
+  std::int64_t m_entries = 0;
+  std::uint64_t m_routingVersion = 0;
+  /// Set if the receiver has an older version.
+  std::string m_routingDocument;
+};
+
+nlohmann::json toJson(const RosterMessage &Message);
+nlohmann::json toJson(const FeedRequest &Message);
+nlohmann::json toJson(const FeedUpdate &Message);
+
+/// Read the messages. Unknown fields are ignored; wrong types, missing names
+/// and lists of more than 4096 entries are errors.
+Result<RosterMessage, FleetError>
+parseRosterMessage(const nlohmann::json &Value);
+Result<FeedRequest, FleetError> parseFeedRequest(const nlohmann::json &Value);
+Result<FeedUpdate, FleetError> parseFeedUpdate(const nlohmann::json &Value);
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Catalog/Catalog.h"
+#include "turmericdyke/src/Groups/LoadPacer.h"
+#include "turmericdyke/src/Groups/ServerDirectory.h"
+
+namespace turmericdyke {
+
+enum class GroupOrderKind { Join, Open, Close, Leave };
+
+std::string_view nameOf(GroupOrderKind Kind);
+
+/// An order to one server about its place in a group.
+struct GroupOrder {
+  GroupOrderKind m_kind = GroupOrderKind::Join;
+  TargetId m_target;
+  std::string m_address;
+  std::string m_group;
+  std::uint64_t m_epoch = 0;
+  /// Join only.
+  std::string m_model;
+  /// Join only; the head first.
+  std::vector<TargetId> m_members;
+};
+
+/// How a server answered an order.
+enum class OrderAnswer {
+  /// It has begun, or the state holds already.
+  Accepted,
+  /// It does not fit the state of the server.
+  Conflict,
+  /// A higher fencing number or epoch was seen.
+  Fenced,
+  /// Another server has the address.
+  WrongServer,
+  /// No answer: it may have been accepted, or may be carried out later.
+  Unknown
+};
+
+enum class GroupPhase {
+  /// Members load.
+  Forming,
+  /// All members are ready; the head opens.
+  Opening,
+  Serving,
+  /// Takes no new work; the head finishes what it has.
+  Closing,
+  /// The members are being freed.
+  Dissolving
+};
+
+std::string_view nameOf(GroupPhase Phase);
+
+/// A change that the planner decided, for the log.
+struct GroupEvent {
+  std::string m_group;
+  std::uint64_t m_epoch = 0;
+  std::string m_model;
+  GroupPhase m_phase = GroupPhase::Forming;
+  std::string m_reason;
+};
+
+struct GroupPlannerOptions {
+  /// A member that was silent for this long counts as lost: two and a half
+  /// announcement intervals of 1.2 s.
+  absl::Duration m_lostAfter = absl::Seconds(3);
+  /// After this time without an answer in the server's announcements an order
+  /// is sent again.
+  absl::Duration m_resendAfter = absl::Milliseconds(1500);
+  /// A head that cannot be reached gives up this long after its members have
+  /// left (the platform's bound), and a margin.
+  absl::Duration m_headGivesUpAfter = absl::Seconds(5);
+  /// Longest wait for a head to finish its work: the longest that a leaving
+  /// member waits for it.
+  absl::Duration m_closeLimit = absl::Seconds(10);
+  /// A group that is not ready by this multiple of its load time, plus a fixed
+  /// time, is given up.
+  double m_formingLoadTimes = 4;
+  absl::Duration m_formingSlack = absl::Seconds(10);
+};
+
+/// What the planner decides from.
+struct GroupPlannerInput {
+  const ServerDirectory *m_servers = nullptr;
+  const Catalog *m_catalog = nullptr;
+  /// Requests per second asked of each model, by model name; models that are
+  /// absent count with their declared share.
+  std::map<std::string, double> m_demand;
+  /// Loads are cheap until the first request.
+  bool m_trafficSeen = false;
+};
+
+/// Forms groups of servers that serve one model together, opens them, and frees
+/// their members when one is lost. Answers the load of a fleet whose members
+/// fail every few seconds.
+///
+/// It keeps two promises. A group opens only when every member has said that it
+/// is ready under this name and epoch. A server joins another group only when
+/// the head of its present one no longer serves: the head said so, or is a new
+/// life, or its members left it long enough ago for it to give up. Orders may
+/// be lost, answered late or carried out late: epochs only grow, so a server
+/// refuses what is older than what it has seen, and what a server says of
+/// itself goes before what it was told.
+class GroupPlanner {
+public:
+  explicit GroupPlanner(GroupPlannerOptions Options = {});
+
+  /// Begins a term of leadership whose epochs are above those of all earlier
+  /// terms. `Fence` is the fencing number that goes with its orders.
+  void lead(std::uint64_t Fence);
+  /// Forgets everything; what servers say is taken up after the next `lead`.
+  void stop();
+  bool leading() const { return m_fence != 0; }
+  std::uint64_t fence() const { return m_fence; }
+
+  /// Decides what to order now. Call after changes and at least every 500 ms.
+  std::vector<GroupOrder> step(Instant Now, const GroupPlannerInput &Input);
+  void answered(Instant Now, const GroupOrder &Order, OrderAnswer Answer);
+  std::vector<GroupEvent> takeEvents();
+
+  struct Member {
+    TargetId m_id;
+    std::int64_t m_bornMillis = 0;
+    Instant m_ordered = absl::InfinitePast();
+    bool m_refused = false;
+  };
+  struct Group {
+    std::string m_name;
+    std::uint64_t m_epoch = 0;
+    ServiceId m_service;
+    std::string m_model;
+    GroupPhase m_phase = GroupPhase::Forming;
+    /// Since when it is in this phase.
+    Instant m_since;
+    /// The head first. An empty identifier stands for a member that never
+    /// announced itself to this leader.
+    std::vector<Member> m_members;
+    absl::Duration m_loadTime = absl::ZeroDuration();
+    /// Since when no reachable member holds itself to be part of it, while the
+    /// head cannot be asked.
+    Instant m_abandonedSince = absl::InfiniteFuture();
+
+    const TargetId &head() const { return m_members.front().m_id; }
+  };
+  const std::map<std::uint64_t, Group> &groups() const { return m_groups; }
+
+private:
+  enum class MemberView { Present, Elsewhere, Draining, Lost };
+
+  MemberView look(const Group &G, const Member &M) const;
+  const ServerRecord *present(const Group &G, const Member &M) const;
+  bool headServes(const Group &G) const;
+  void enter(Group &G, GroupPhase Phase, std::string_view Reason);
+  void order(Group &G, Member &M, GroupOrderKind Kind);
+
+  void adoptStrays();
+  void stepGroup(Group &G);
+  void stepForming(Group &G);
+  void stepOpening(Group &G);
+  void stepServing(Group &G);
+  void stepClosing(Group &G);
+  void stepDissolving(Group &G);
+  bool leaveIfBroken(Group &G);
+  bool finished(const Group &G) const;
+
+  using FreeServers =
+      std::map<FabricDomainId, std::vector<const ServerRecord *>>;
+  bool isFree(const ServerRecord &Server) const;
+  FreeServers freeServers(const ServiceId &Service) const;
+  void formGroups(const ServiceEntry &Service);
+  const EngineModel *neediest(const ServiceEntry &Service,
+                              const std::set<std::string> &Without) const;
+  double supplyRatio(const ServiceEntry &Service,
+                     const EngineModel &Model) const;
+  bool formOne(const ServiceEntry &Service, const EngineModel &Model,
+               FreeServers &Free);
+  std::int64_t loadsRunning() const;
+
+  GroupPlannerOptions m_options;
+  std::uint64_t m_fence = 0;
+  std::uint64_t m_nextEpoch = 0;
+  std::map<std::uint64_t, Group> m_groups;
+  LoadPacer m_pacer;
+  std::vector<GroupEvent> m_events;
+
+  // Of the present step.
+  Instant m_now;
+  const GroupPlannerInput *m_input = nullptr;
+  std::vector<GroupOrder> m_orders;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
@@ -0,0 +1,107 @@
+#include "turmericdyke/src/Groups/ServerDirectory.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+/// How long a withdrawn life is remembered; announcements are late by seconds.
+constexpr absl::Duration DepartedFor = absl::Seconds(60);
+
+bool saysTheSame(const ServerAnnouncement &A, const ServerAnnouncement &B) {
+  return A.m_bornMillis == B.m_bornMillis && A.m_service == B.m_service &&
+         A.m_address == B.m_address && A.m_draining == B.m_draining &&
+         A.m_group == B.m_group && A.m_model == B.m_model &&
+         A.m_stagedModels == B.m_stagedModels && A.m_slots == B.m_slots;
+}
+
+} // namespace
+} // namespace internal
+
+std::string_view nameOf(MemberState State) {
+  constexpr std::string_view Names[] = {"joining", "ready", "open", "closing",
+                                        "broken"};
+  return Names[static_cast<std::size_t>(State)];
+}
+
+bool ServerDirectory::isStale(const ServerAnnouncement &Value) const {
+  auto Gone = m_departed.find(Value.m_id);
+  if (Gone != m_departed.end() &&
+      Value.m_bornMillis <= Gone->second.m_bornMillis)
+    return true;
+  if (const ServerRecord *Known = find(Value.m_id)) {
+    const ServerAnnouncement &Said = Known->m_said;
+    if (Value.m_bornMillis != Said.m_bornMillis)
+      return Value.m_bornMillis < Said.m_bornMillis;
+    return Value.m_sequence <= Said.m_sequence;
+  }
+  auto Holder = m_byAddress.find(Value.m_address);
+  return Holder != m_byAddress.end() &&
+         m_servers.at(Holder->second).m_said.m_bornMillis > Value.m_bornMillis;
+}
+
+void ServerDirectory::releaseAddress(const ServerAnnouncement &Value) {
+  auto Holder = m_byAddress.find(Value.m_address);
+  if (Holder != m_byAddress.end() && Holder->second != Value.m_id) {
+    // The address is used again, so its earlier holder has ended.
+    m_servers.erase(Holder->second);
+    m_byAddress.erase(Holder);
+  }
+  if (const ServerRecord *Known = find(Value.m_id))
+    m_byAddress.erase(Known->m_said.m_address);
+  m_byAddress[Value.m_address] = Value.m_id;
+}
+
+AnnouncementResult ServerDirectory::announce(Instant Now,
+                                             const ServerAnnouncement &Value) {
+  if (isStale(Value))
+    return AnnouncementResult::Stale;
+  releaseAddress(Value);
+  auto [At, New] = m_servers.try_emplace(Value.m_id);
+  ServerRecord &Record = At->second;
+  bool Same = !New && internal::saysTheSame(Record.m_said, Value);
+  if (New || Record.m_said.m_bornMillis != Value.m_bornMillis)
+    Record.m_firstHeard = Now;
+  Record.m_said = Value;
+  Record.m_lastHeard = Now;
+  return Same ? AnnouncementResult::Unchanged : AnnouncementResult::Changed;
+}
+
+bool ServerDirectory::withdraw(Instant Now, const TargetId &Id) {
+  const ServerRecord *Known = find(Id);
+  if (Known == nullptr)
+    return false;
+  m_departed[Id] = {Known->m_said.m_bornMillis, Now};
+  m_byAddress.erase(Known->m_said.m_address);
+  m_servers.erase(Id);
+  return true;
+}
+
+std::vector<TargetId> ServerDirectory::expire(Instant Now,
+                                              absl::Duration SilentFor) {
+  std::vector<TargetId> Forgotten;
+  for (const auto &[Id, Record] : m_servers)
+    if (Now - Record.m_lastHeard >= SilentFor)
+      Forgotten.push_back(Id);
+  for (const TargetId &Id : Forgotten) {
+    m_byAddress.erase(m_servers.at(Id).m_said.m_address);
+    m_servers.erase(Id);
+  }
+  std::erase_if(m_departed, [Now](const auto &Entry) {
+    return Now - Entry.second.m_when >= internal::DepartedFor;
+  });
+  return Forgotten;
+}
+
+void ServerDirectory::clear() {
+  m_servers.clear();
+  m_departed.clear();
+  m_byAddress.clear();
+}
+
+const ServerRecord *ServerDirectory::find(const TargetId &Id) const {
+  auto Found = m_servers.find(Id);
+  return Found == m_servers.end() ? nullptr : &Found->second;
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Groups/ServerAnnouncement.h"
+
+namespace turmericdyke {
+
+/// The newest announcement of a server, and when it arrived.
+struct ServerRecord {
+  ServerAnnouncement m_said;
+  Instant m_lastHeard = absl::InfinitePast();
+  Instant m_firstHeard = absl::InfinitePast();
+};
+
+enum class AnnouncementResult {
+  /// Says something new beside being alive.
+  Changed,
+  /// Only shows that the server lives.
+  Unchanged,
+  /// Older than what is known.
+  Stale
+};
+
+/// The servers that announced themselves to this node. Announcements arrive
+/// late and crossed: the life (`m_bornMillis`) and then the sequence decide
+/// which is newer, and of two servers at one address the one born later holds
+/// it.
+class ServerDirectory {
+public:
+  AnnouncementResult announce(Instant Now, const ServerAnnouncement &Value);
+  /// The server says that it ends. Late announcements of the same life are
+  /// stale from now on. Returns whether the server was known.
+  bool withdraw(Instant Now, const TargetId &Id);
+  /// Forgets servers that were silent for `SilentFor`, and returns them.
+  std::vector<TargetId> expire(Instant Now, absl::Duration SilentFor);
+  void clear();
+
+  /// Null if the server is unknown, withdrawn or forgotten.
+  const ServerRecord *find(const TargetId &Id) const;
+  const std::map<TargetId, ServerRecord> &all() const { return m_servers; }
+
+private:
+  struct Departed {
+    std::int64_t m_bornMillis = 0;
+    Instant m_when;
+  };
+
+  bool isStale(const ServerAnnouncement &Value) const;
+  void releaseAddress(const ServerAnnouncement &Value);
+
+  std::map<TargetId, ServerRecord> m_servers;
+  std::map<TargetId, Departed> m_departed;
+  std::map<std::string, TargetId> m_byAddress;
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/http/turmericdyke/src/Http/HttpClientConnection.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "turmericdyke/src/Http/HttpReader.h"
+#include "turmericdyke/src/Loop/EventLoop.h"
+
+namespace turmericdyke {
+
+/// How a call over a client connection ended.
+enum class ClientEnd {
+  /// The response is complete.
+  Complete,
+  /// No connection came about; no byte of the request left this process.
+  ConnectFailed,
+  /// The connection ended within the response, or before it.
+  Broken,
+  /// The bytes received are no response.
+  Malformed
+};
+
+/// What a call over a client connection reports, in order. The callbacks may
+/// cancel the call.
+class ClientCallEvents {
+public:
+  virtual ~ClientCallEvents() = default;
+  /// Whether the response belongs to the call. One that does not is skipped,
+  /// and the next one on the connection is awaited.
+  virtual bool onResponseHead(const HttpResponseHead &Head) = 0;
+  virtual void onResponseBody(std::string_view Bytes) = 0;
+  virtual void onCallEnd(ClientEnd End) = 0;
+};
+
+struct ClientConnectionOptions {
+  absl::Duration m_connectTimeout = absl::Milliseconds(500);
+  /// See `limitSilence`.
+  absl::Duration m_silenceLimit = absl::Seconds(2);
+};
+
+/// A connection to a server, which carries one call at a time.
+class HttpClientConnection : public HttpReaderEvents {
+public:
+  HttpClientConnection(EventLoop &Loop, std::string Address,
+                       ClientConnectionOptions Options);
+  ~HttpClientConnection() override;
+
+  /// Sends a request. `Events` must live until `onCallEnd` or `cancel`.
+  void call(std::string Bytes, bool IsHead, ClientCallEvents &Events);
+  /// Drops the call and the connection; nothing is reported any more.
+  void cancel();
+  /// Stops and resumes reading, while the receiver of the response lags.
+  void setReading(bool On);
+
+  /// Whether another call may use the connection.
+  bool reusable(Instant Now) const;
+  /// Since when it carries nothing.
+  Instant idleSince() const { return m_idleSince; }
+  const std::string &address() const { return m_address; }
+  /// Calls that the connection has carried, the present one included.
+  int calls() const { return m_calls; }
+  /// Whether any byte of the present call was handed to the network.
+  bool sentAny() const { return m_sent > 0; }
+  /// Called when the server ends the connection while it carries nothing.
+  void onIdleEnd(std::function<void()> Callback) {
+    m_onIdleEnd = std::move(Callback);
+  }
+
+  bool onHead() override;
+  void onBody(std::string_view Bytes) override;
+  void onMessageEnd() override;
+
+private:
+  enum class State { Unconnected, Connecting, Idle, Calling, Closed };
+
+  void startConnecting();
+  void onReady(std::uint32_t Events);
+  void onConnected();
+  void flush();
+  void readSocket();
+  void take(std::string_view Bytes);
+  void updateEvents();
+  void endCall(ClientEnd End);
+  void dropSocket();
+  absl::Duration keepAliveTime() const;
+
+  EventLoop &m_loop;
+  std::string m_address;
+  ClientConnectionOptions m_options;
+  State m_state = State::Unconnected;
+  internal::Descriptor m_socket;
+  HttpReader m_reader;
+  ClientCallEvents *m_events = nullptr;
+  std::string m_output;
+  std::size_t m_sent = 0;
+  bool m_isHead = false;
+  bool m_skipping = false;
+  bool m_messageEnded = false;
+  bool m_reusable = true;
+  bool m_reading = true;
+  int m_calls = 0;
+  Instant m_idleSince = absl::InfinitePast();
+  absl::Duration m_keepAliveTime;
+  EventLoop::Timer m_connectTimer;
+  std::function<void()> m_onIdleEnd;
+  /// Tells a callback that the connection was destroyed under it.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/http/turmericdyke/src/Http/HttpClientPool.cpp
@@ -0,0 +1,68 @@
+#include "turmericdyke/src/Http/HttpClientPool.h"
+
+#include <algorithm>
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+constexpr absl::Duration SweepInterval = absl::Seconds(1);
+
+} // namespace
+} // namespace internal
+
+HttpClientPool::HttpClientPool(EventLoop &Loop, ClientConnectionOptions Options,
+                               OpenHandler OnOpen)
+    : m_loop(Loop), m_options(Options), m_onOpen(std::move(OnOpen)) {}
+
+std::unique_ptr<HttpClientConnection>
+HttpClientPool::take(const std::string &Address, absl::Duration MostIdle) {
+  Instant Now = monotonicNow();
+  auto Found = m_kept.find(Address);
+  if (Found != m_kept.end()) {
+    auto &Kept = Found->second;
+    while (!Kept.empty()) {
+      std::unique_ptr<HttpClientConnection> Last = std::move(Kept.back());
+      Kept.pop_back();
+      if (Last->reusable(Now) && Now - Last->idleSince() < MostIdle)
+        return Last;
+    }
+    m_kept.erase(Found);
+  }
+  m_onOpen();
+  return std::make_unique<HttpClientConnection>(m_loop, Address, m_options);
+}
+
+void HttpClientPool::give(std::unique_ptr<HttpClientConnection> Connection) {
+  if (!Connection->reusable(monotonicNow()))
+    return;
+  std::string Address = Connection->address();
+  m_kept[Address].push_back(std::move(Connection));
+  if (!m_sweep)
+    m_sweep = m_loop.after(internal::SweepInterval, [this] { sweep(); });
+}
+
+void HttpClientPool::drop(const std::string &Address) { m_kept.erase(Address); }
+
+std::size_t HttpClientPool::kept() const {
+  std::size_t Count = 0;
+  for (const auto &[Address, Kept] : m_kept)
+    Count += Kept.size();
+  return Count;
+}
+
+void HttpClientPool::sweep() {
+  m_sweep = EventLoop::Timer{};
+  Instant Now = monotonicNow();
+  for (auto At = m_kept.begin(); At != m_kept.end();) {
+    std::erase_if(At->second, [Now](const auto &Connection) {
+      return !Connection->reusable(Now);
+    });
+    At = At->second.empty() ? m_kept.erase(At) : std::next(At);
+  }
+  if (!m_kept.empty())
+    m_sweep = m_loop.after(internal::SweepInterval, [this] { sweep(); });
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -0,0 +1,157 @@
+#include "turmericdyke/src/Http/HttpReader.h"
+
+#include <http_parser.h>
+
+namespace turmericdyke {
+
+/// The callbacks of the C library. Each returns 0 to go on.
+struct HttpReader::Parser {
+  http_parser m_state{};
+  http_parser_settings m_callbacks{};
+
+  static HttpReader &self(http_parser *State) {
+    return *static_cast<HttpReader *>(State->data);
+  }
+
+  static int onBegin(http_parser *State) {
+    self(State).m_started = true;
+    return 0;
+  }
+  static int onUrl(http_parser *State, const char *At, std::size_t Size) {
+    self(State).m_request.m_target.append(At, Size);
+    return 0;
+  }
+  static int onName(http_parser *State, const char *At, std::size_t Size) {
+    HttpReader &Reader = self(State);
+    Reader.flushField();
+    Reader.m_name.append(At, Size);
+    return 0;
+  }
+  static int onValue(http_parser *State, const char *At, std::size_t Size) {
+    HttpReader &Reader = self(State);
+    Reader.m_valueSeen = true;
+    Reader.m_value.append(At, Size);
+    return 0;
+  }
+  static int onHeadComplete(http_parser *State) {
+    return self(State).headComplete();
+  }
+  static int onBody(http_parser *State, const char *At, std::size_t Size) {
+    self(State).m_events.onBody({At, Size});
+    return 0;
+  }
+  static int onEnd(http_parser *State) {
+    HttpReader &Reader = self(State);
+    Reader.m_ended = true;
+    // Stops before the first byte of the next message.
+    http_parser_pause(State, 1);
+    return 0;
+  }
+};
+
+HttpReader::HttpReader(Side Kind, HttpReaderEvents &Events)
+    : m_side(Kind), m_events(Events), m_parser(std::make_unique<Parser>()) {
+  m_parser->m_callbacks.on_message_begin = &Parser::onBegin;
+  m_parser->m_callbacks.on_url = &Parser::onUrl;
+  m_parser->m_callbacks.on_header_field = &Parser::onName;
+  m_parser->m_callbacks.on_header_value = &Parser::onValue;
+  m_parser->m_callbacks.on_headers_complete = &Parser::onHeadComplete;
+  m_parser->m_callbacks.on_body = &Parser::onBody;
+  m_parser->m_callbacks.on_message_complete = &Parser::onEnd;
+  reset();
+}
+
+HttpReader::~HttpReader() = default;
+
+void HttpReader::reset() {
+  http_parser_init(&m_parser->m_state,
+                   m_side == Side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+  m_parser->m_state.data = this;
+  m_headBytes = 0;
+  m_started = false;
+  m_headDone = false;
+  m_ended = false;
+  m_valueSeen = false;
+  m_name.clear();
+  m_value.clear();
+  m_request = HttpRequest();
+  m_response = HttpResponseHead();
+}
+
+void HttpReader::flushField() {
+  if (!m_valueSeen)
+    return;
+  HttpFields &Fields =
+      m_side == Side::Requests ? m_request.m_fields : m_response.m_fields;
+  // A line after the body of a chunked message is a trailer, which nobody here
+  // reads.
+  if (!m_headDone)
+    Fields.add(m_name, m_value);
+  m_name.clear();
+  m_value.clear();
+  m_valueSeen = false;
+}
+
+int HttpReader::headComplete() {
+  flushField();
+  m_headDone = true;
+  http_parser &State = m_parser->m_state;
+  bool KeepAlive = http_should_keep_alive(&State) != 0;
+  if (m_side == Side::Requests) {
+    m_request.m_method =
+        http_method_str(static_cast<http_method>(State.method));
+    m_request.m_keepAlive = KeepAlive;
+    m_request.m_takesChunks =
+        State.http_major > 1 || (State.http_major == 1 && State.http_minor > 0);
+  } else {
+    m_response.m_status = static_cast<int>(State.status_code);
+    m_response.m_keepAlive = KeepAlive;
+    constexpr std::uint64_t NoLength = ~std::uint64_t{0};
+    bool Chunked = (State.flags & F_CHUNKED) != 0;
+    if (!Chunked && State.content_length != NoLength)
+      m_response.m_contentLength = State.content_length;
+    m_response.m_endsWithConnection = !Chunked && !m_response.m_contentLength &&
+                                      m_response.m_status != 204 &&
+                                      m_response.m_status != 304;
+  }
+  constexpr int SkipBody = 1;
+  return m_events.onHead() ? 0 : SkipBody;
+}
+
+HttpReadStatus HttpReader::feed(std::string_view Bytes, std::size_t &Taken) {
+  Taken = http_parser_execute(&m_parser->m_state, &m_parser->m_callbacks,
+                              Bytes.data(), Bytes.size());
+  if (!m_headDone) {
+    m_headBytes += Taken;
+    if (m_headBytes > m_maxHeadBytes)
+      return HttpReadStatus::HeadTooLarge;
+  }
+  http_errno Error = HTTP_PARSER_ERRNO(&m_parser->m_state);
+  if (Error == HPE_HEADER_OVERFLOW)
+    return HttpReadStatus::HeadTooLarge;
+  if (!m_ended)
+    return Error == HPE_OK ? HttpReadStatus::NeedsMore
+                           : HttpReadStatus::Malformed;
+  m_events.onMessageEnd();
+  reset();
+  return HttpReadStatus::MessageEnded;
+}
+
+bool HttpReader::endOfInput() {
+  if (!m_started)
+    return true;
+  std::size_t Taken = http_parser_execute(&m_parser->m_state,
+                                          &m_parser->m_callbacks, nullptr, 0);
+  (void)Taken;
+  if (!m_ended)
+    return false;
+  m_events.onMessageEnd();
+  reset();
+  return true;
+}
+
+bool HttpReader::insideMessage() const { return m_started; }
+
+bool HttpReader::insideBody() const { return m_headDone; }
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/http/turmericdyke/src/Http/ServerConnection.cpp
@@ -0,0 +1,229 @@
+#include "turmericdyke/src/Http/ServerConnection.h"
+
+#include <cerrno>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <utility>
+
+#include "turmericdyke/src/Http/ServerExchange.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+constexpr std::size_t ReadBytes = 16 << 10;
+/// Bytes of later requests that are held while one is answered.
+constexpr std::size_t MaxInputBytes = 256 << 10;
+/// A caller that confirms nothing for this long has lost its host or its path.
+constexpr absl::Duration SilenceLimit = absl::Seconds(4);
+
+} // namespace
+} // namespace internal
+
+ServerConnection::ServerConnection(HttpServer &Server, std::uint64_t Id,
+                                   internal::Descriptor Socket)
+    : m_server(Server), m_id(Id), m_socket(std::move(Socket)),
+      m_reader(HttpReader::Side::Requests, *this), m_lastRead(monotonicNow()) {
+  internal::limitSilence(m_socket, internal::SilenceLimit);
+}
+
+ServerConnection::~ServerConnection() { close(); }
+
+void ServerConnection::open() {
+  m_server.m_loop.watch(m_socket.get(), EPOLLIN, [this](std::uint32_t Events) {
+    std::shared_ptr<ServerConnection> Held = shared_from_this();
+    onReady(Events);
+  });
+}
+
+void ServerConnection::close() {
+  if (m_closed)
+    return;
+  m_closed = true;
+  m_server.m_loop.unwatch(m_socket.get());
+  m_socket = internal::Descriptor();
+  if (std::shared_ptr<ServerExchange> Exchange =
+          std::exchange(m_exchange, {})) {
+    --m_server.m_exchanges;
+    Exchange->markGone();
+  }
+  m_server.forget(m_id);
+}
+
+void ServerConnection::reset() {
+  // Without lingering, close(2) sends a reset in place of an orderly end.
+  linger Now{1, 0};
+  setsockopt(m_socket.get(), SOL_SOCKET, SO_LINGER, &Now, sizeof Now);
+  close();
+}
+
+bool ServerConnection::keepsAlive() const {
+  return m_keepAlive && !m_server.m_closing;
+}
+
+bool ServerConnection::carriesNothing() const {
+  return !m_exchange && m_input.empty() && !m_reader.insideMessage() &&
+         unsentBytes() == 0;
+}
+
+void ServerConnection::onReady(std::uint32_t Events) {
+  if ((Events & EPOLLOUT) != 0 && !flush())
+    return;
+  if ((Events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+    readSocket();
+}
+
+void ServerConnection::readSocket() {
+  char Buffer[internal::ReadBytes];
+  ssize_t Count = recv(m_socket.get(), Buffer, sizeof Buffer, 0);
+  if (Count < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (Count <= 0)
+    return close();
+  m_lastRead = monotonicNow();
+  m_input.append(Buffer, static_cast<std::size_t>(Count));
+  if (!m_exchange)
+    return readInput();
+  if (m_input.size() > internal::MaxInputBytes)
+    updateEvents();
+}
+
+void ServerConnection::readInput() {
+  while (!m_closed && !m_exchange && !m_closeWhenSent && !m_input.empty()) {
+    if (!m_reader.insideMessage())
+      m_requestBegun = m_lastRead;
+    m_reader.setMaxHeadBytes(m_server.m_limits.m_headBytes);
+    std::size_t Taken = 0;
+    HttpReadStatus Status = m_reader.feed(m_input, Taken);
+    if (m_closed)
+      return;
+    m_input.erase(0, Taken);
+    if (m_bodyTooLarge)
+      return refuse(HttpServerEvent::BodyTooLarge, 413);
+    if (Status == HttpReadStatus::Malformed)
+      return refuse(HttpServerEvent::Malformed, 400);
+    if (Status == HttpReadStatus::HeadTooLarge)
+      return refuse(HttpServerEvent::HeadTooLarge, 431);
+  }
+}
+
+bool ServerConnection::onHead() {
+  if (m_reader.request().m_fields.lists("Expect", "100-continue"))
+    send("HTTP/1.1 100 Continue\r\n\r\n");
+  return true;
+}
+
+void ServerConnection::onBody(std::string_view Bytes) {
+  if (m_body.size() + Bytes.size() > m_server.m_limits.m_bodyBytes)
+    m_bodyTooLarge = true;
+  else
+    m_body.append(Bytes);
+}
+
+void ServerConnection::onMessageEnd() {
+  if (m_bodyTooLarge)
+    return;
+  HttpRequest Request = std::move(m_reader.request());
+  Request.m_body = std::exchange(m_body, {});
+  Request.m_received = m_lastRead;
+  m_keepAlive = Request.m_keepAlive;
+  m_requestBegun = absl::InfiniteFuture();
+  m_exchange =
+      std::make_shared<ServerExchange>(weak_from_this(), std::move(Request));
+  ++m_server.m_exchanges;
+  m_server.m_onRequest(m_exchange);
+}
+
+void ServerConnection::send(std::string_view Bytes) {
+  if (m_closed)
+    return;
+  m_output.append(Bytes);
+  flush();
+}
+
+bool ServerConnection::flush() {
+  while (unsentBytes() > 0) {
+    ssize_t Count = ::send(m_socket.get(), m_output.data() + m_sent,
+                           unsentBytes(), MSG_NOSIGNAL);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0 && errno == EAGAIN)
+      break;
+    if (Count < 0) {
+      close();
+      return false;
+    }
+    m_sent += static_cast<std::size_t>(Count);
+  }
+  if (unsentBytes() == 0) {
+    m_output.clear();
+    m_sent = 0;
+    if (m_closeWhenSent) {
+      close();
+      return false;
+    }
+  }
+  updateEvents();
+  return true;
+}
+
+void ServerConnection::updateEvents() {
+  if (m_closed)
+    return;
+  std::uint32_t Events = 0;
+  if (m_input.size() <= internal::MaxInputBytes)
+    Events |= EPOLLIN;
+  bool WantsWrite = unsentBytes() > 0;
+  if (WantsWrite)
+    Events |= EPOLLOUT;
+  if (WantsWrite != m_wantsWrite || (Events & EPOLLIN) == 0)
+    m_server.m_loop.change(m_socket.get(), Events);
+  m_wantsWrite = WantsWrite;
+}
+
+void ServerConnection::exchangeDone(bool KeepAlive) {
+  if (m_closed || !m_exchange)
+    return;
+  m_exchange.reset();
+  --m_server.m_exchanges;
+  m_lastRead = monotonicNow();
+  if (!KeepAlive) {
+    m_closeWhenSent = true;
+    flush();
+    return;
+  }
+  if (m_input.empty())
+    return;
+  // The next request is read on a fresh stack: a caller that sends many at once
+  // must not nest one answer in another.
+  m_server.m_loop.post([Weak = weak_from_this()] {
+    if (std::shared_ptr<ServerConnection> Self = Weak.lock()) {
+      Self->updateEvents();
+      Self->readInput();
+    }
+  });
+}
+
+void ServerConnection::refuse(HttpServerEvent Reason, int Status) {
+  m_server.report(Reason);
+  m_closeWhenSent = true;
+  send(responseHead(Status, {}, BodyFraming::Length, 0, false));
+}
+
+void ServerConnection::checkTime(Instant Now) {
+  const HttpServerLimits &Limits = m_server.m_limits;
+  if (m_exchange || m_closed)
+    return;
+  if (!m_reader.insideMessage()) {
+    if (Now - m_lastRead >= Limits.m_idleTime)
+      close();
+    return;
+  }
+  if (!m_reader.insideBody() && Now - m_requestBegun >= Limits.m_headTime)
+    return refuse(HttpServerEvent::HeadTimedOut, 408);
+  if (m_reader.insideBody() && Now - m_lastRead >= Limits.m_bodyPause)
+    return refuse(HttpServerEvent::BodyTimedOut, 408);
+}
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/http/turmericdyke/src/Http/ServerConnection.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "turmericdyke/src/Http/HttpReader.h"
+#include "turmericdyke/src/Http/HttpServer.h"
+
+namespace turmericdyke {
+
+class ServerExchange;
+
+/// A caller's connection to an `HttpServer`.
+class ServerConnection : public HttpReaderEvents,
+                         public std::enable_shared_from_this<ServerConnection> {
+public:
+  ServerConnection(HttpServer &Server, std::uint64_t Id,
+                   internal::Descriptor Socket);
+  ~ServerConnection() override;
+
+  void open();
+  /// Queues bytes of the answer and sends what the socket takes.
+  void send(std::string_view Bytes);
+  /// The answer is complete; the next request may be read.
+  void exchangeDone(bool KeepAlive);
+  /// Ends the connection with a reset.
+  void reset();
+  void close();
+
+  bool keepsAlive() const;
+  bool carriesNothing() const;
+  std::size_t unsentBytes() const { return m_output.size() - m_sent; }
+  /// Ends the connection if a bound on time has passed.
+  void checkTime(Instant Now);
+
+  bool onHead() override;
+  void onBody(std::string_view Bytes) override;
+  void onMessageEnd() override;
+
+private:
+  void onReady(std::uint32_t Events);
+  void readSocket();
+  void readInput();
+  /// Sends what the socket takes; false when the connection has ended.
+  bool flush();
+  void updateEvents();
+  void refuse(HttpServerEvent Reason, int Status);
+
+  HttpServer &m_server;
+  std::uint64_t m_id;
+  internal::Descriptor m_socket;
+  HttpReader m_reader;
+  std::string m_body;
+  std::string m_input;
+  std::string m_output;
+  std::size_t m_sent = 0;
+  std::shared_ptr<ServerExchange> m_exchange;
+  bool m_keepAlive = true;
+  bool m_bodyTooLarge = false;
+  bool m_closeWhenSent = false;
+  bool m_closed = false;
+  bool m_wantsWrite = false;
+  Instant m_lastRead;
+  /// When the first byte of the present request was read.
+  Instant m_requestBegun = absl::InfiniteFuture();
+};
+
+} // namespace turmericdyke
--- /dev/null
+++ b/packages/loop/turmericdyke/src/Loop/EventLoop.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Loop/Sockets.h"
+
+namespace turmericdyke {
+
+/// Runs the I/O of one thread: readiness of descriptors, timers that fire when
+/// they are due, and work that other threads hand over. It sleeps while there
+/// is nothing to do. All methods but `post` and `stop` belong to the thread
+/// that calls `run`.
+class EventLoop {
+public:
+  using Work = std::function<void()>;
+  /// Takes the ready events as in epoll(7).
+  using Ready = std::function<void(std::uint32_t)>;
+
+  /// Names a timer that has not fired yet.
+  struct Timer {
+    Instant m_when = absl::InfiniteFuture();
+    std::uint64_t m_id = 0;
+    explicit operator bool() const { return m_id != 0; }
+  };
+
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  /// Calls `Callback` whenever `Events` are ready, until `unwatch`.
+  void watch(int File, std::uint32_t Events, Ready Callback);
+  void change(int File, std::uint32_t Events);
+  void unwatch(int File);
+
+  Timer at(Instant When, Work Callback);
+  Timer after(absl::Duration Wait, Work Callback);
+  /// Forgets a timer; harmless if it has fired or was never set.
+  void cancel(Timer &Value);
+
+  /// Runs `Callback` on the loop's thread, from any thread.
+  void post(Work Callback);
+  /// Called after each turn, for example to flush logs.
+  void setAfterTurn(Work Callback) { m_afterTurn = std::move(Callback); }
+
+  /// Serves until `stop`.
+  void run();
+  void stop();
+
+  /// Turns of the loop so far, one for each time that the thread woke up.
+  std::uint64_t turns() const { return m_turns; }
+
+private:
+  struct Watch {
+    std::uint32_t m_generation = 0;
+    Ready m_callback;
+  };
+
+  int waitMillis() const;
+  void runTimers();
+  void runPosted();
+  void drainWake() const;
+
+  internal::Descriptor m_poll;
+  internal::Descriptor m_wake;
+  std::map<int, std::shared_ptr<Watch>> m_watches;
+  std::uint32_t m_generations = 0;
+  std::map<std::pair<Instant, std::uint64_t>, Work> m_timers;
+  std::uint64_t m_timerIds = 0;
+  std::uint64_t m_turns = 0;
+  Work m_afterTurn;
+  std::atomic<bool> m_stopping{false};
+
+  absl::Mutex m_lock;
+  std::vector<Work> m_posted ABSL_GUARDED_BY(m_lock);
+};
+
+} // namespace turmericdyke
--- a/packages/peer/turmericdyke/src/Peer/Sockets.cpp
+++ b/packages/loop/turmericdyke/src/Loop/Sockets.cpp
@@ -1,5 +1,6 @@
-#include "turmericdyke/src/Peer/Sockets.h"
+#include "turmericdyke/src/Loop/Sockets.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -56,13 +57,12 @@
   return Read;
 }
 
-PeerError socketError(std::string_view What, std::string_view Address) {
-  return {PeerErrorCode::Socket,
-          fmt::format("{} {}: {}", What, Address, std::strerror(errno))};
+SocketError socketError(std::string_view What, std::string_view Address) {
+  return {fmt::format("{} {}: {}", What, Address, std::strerror(errno))};
 }
 
-PeerError addressError(std::string_view Address) {
-  return {PeerErrorCode::Socket, fmt::format("not IP:port: {}", Address)};
+SocketError addressError(std::string_view Address) {
+  return {fmt::format("not IP:port: {}", Address)};
 }
 
 void disableDelay(int Socket) {
@@ -90,7 +90,7 @@
     close(m_value);
 }
 
-Result<Descriptor, PeerError> listenOn(std::string_view Address) {
+Result<Descriptor, SocketError> listenOn(std::string_view Address) {
   std::optional<SocketAddress> Where = parseAddress(Address);
   if (!Where)
     return failure(addressError(Address));
@@ -106,7 +106,7 @@
   return Socket;
 }
 
-Result<Descriptor, PeerError> connectTo(std::string_view Address) {
+Result<Descriptor, SocketError> connectTo(std::string_view Address) {
   std::optional<SocketAddress> Where = parseAddress(Address);
   if (!Where)
     return failure(addressError(Address));
@@ -144,4 +144,27 @@
   return fmt::format("{}:{}", Ip, ntohs(V4->sin_port));
 }
 
+void limitSilence(const Descriptor &Socket, absl::Duration Limit) {
+  unsigned Unconfirmed =
+      static_cast<unsigned>(absl::ToInt64Milliseconds(Limit));
+  setsockopt(Socket.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Unconfirmed,
+             sizeof Unconfirmed);
+  int On = 1;
+  setsockopt(Socket.get(), SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+  int Seconds = std::max(1, static_cast<int>(absl::ToInt64Seconds(Limit)) / 2);
+  setsockopt(Socket.get(), IPPROTO_TCP, TCP_KEEPIDLE, &Seconds, sizeof Seconds);
+  setsockopt(Socket.get(), IPPROTO_TCP, TCP_KEEPINTVL, &Seconds,
+             sizeof Seconds);
+  int Probes = 2;
+  setsockopt(Socket.get(), IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
+}
+
+int pendingError(const Descriptor &Socket) {
+  int Code = 0;
+  socklen_t Size = sizeof Code;
+  if (getsockopt(Socket.get(), SOL_SOCKET, SO_ERROR, &Code, &Size) != 0)
+    return errno;
+  return Code;
+}
+
 } // namespace turmericdyke::internal
--- a/packages/node/app/Main.cpp
+++ b/packages/node/app/Main.cpp
@@ -9,11 +9,15 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include "platform/PlatformMain.h"
 #include "turmericdyke/Base"
 #include "turmericdyke/src/Node/Node.h"
 #include "turmericdyke/src/Node/Settings.h"
 
 DEFINE_bool(check_settings, false, "check the settings and exit");
+DEFINE_string(role, "",
+              "run as a node of the platform, with its settings file: entry or "
+              "coordinator");
 
 namespace GFLAGS_NAMESPACE {
 /// Called when the command line cannot be read. gflags exports it without
@@ -85,6 +89,8 @@
   gflags::HandleCommandLineHelpFlags();
   if (ArgumentCount > 1)
     return failSettings({Arguments[1], "is not a flag"});
+  if (!FLAGS_role.empty())
+    return platform::runRole(FLAGS_role);
   Result<Settings, SettingsError> Checked = parseSettings();
   if (!Checked)
     return failSettings(Checked.error());
--- a/packages/node/turmericdyke/src/Node/Bootstrap.cpp
+++ b/packages/node/turmericdyke/src/Node/Bootstrap.cpp
@@ -13,9 +13,9 @@
 } // namespace internal
 
 Bootstrap::Bootstrap(NodeId Self, std::string Identity,
-                     std::vector<NodeId> Voters)
+                     std::vector<NodeId> Voters, bool MayForm)
     : m_self(std::move(Self)), m_identity(std::move(Identity)),
-      m_voters(std::move(Voters)) {
+      m_voters(std::move(Voters)), m_mayForm(MayForm) {
   m_identities[m_self] = m_identity;
   propose();
 }
@@ -62,6 +62,8 @@
 }
 
 void Bootstrap::conclude() {
+  if (!m_mayForm)
+    return;
   for (const NodeId &Voter : m_voters)
     if (m_proposals[Voter] != m_proposal)
       return;
--- a/packages/node/turmericdyke/src/Node/Bootstrap.h
+++ b/packages/node/turmericdyke/src/Node/Bootstrap.h
@@ -19,7 +19,9 @@
 /// and the node joins as a learner.
 class Bootstrap {
 public:
-  Bootstrap(NodeId Self, std::string Identity, std::vector<NodeId> Voters);
+  /// Without `MayForm` the node only joins a cluster that exists.
+  Bootstrap(NodeId Self, std::string Identity, std::vector<NodeId> Voters,
+            bool MayForm = true);
 
   /// Messages to send, once every 200 ms.
   std::vector<AddressedMessage> tick(Instant Now);
@@ -37,6 +39,7 @@
   NodeId m_self;
   std::string m_identity;
   std::vector<NodeId> m_voters;
+  bool m_mayForm;
   std::map<NodeId, std::string> m_identities;
   std::map<NodeId, VoterSet> m_proposals;
   VoterSet m_proposal;
--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -177,16 +177,29 @@
   submit(Now, Tick{Wall});
 }
 
+void ControlCore::setCluster(std::vector<NodeId> Peers,
+                             std::vector<NodeId> Voters) {
+  m_options.m_peers = std::move(Peers);
+  m_options.m_desiredVoters = std::move(Voters);
+  m_exactVoters = true;
+  m_raft.setLearners(m_options.m_peers);
+}
+
 void ControlCore::stepVoters(Instant Now) {
   if (Now < m_nextVoterStep)
     return;
   m_nextVoterStep = Now + internal::VoterStepInterval;
   VoterSet Goal = m_raft.voters();
+  const auto &Desired = m_options.m_desiredVoters;
+  auto IsDesired = [&Desired](const NodeId &Node) {
+    return std::find(Desired.begin(), Desired.end(), Node) != Desired.end();
+  };
+  if (m_exactVoters)
+    std::erase_if(Goal.m_voters, [&](const Voter &Member) {
+      return !IsDesired(Member.m_node);
+    });
   for (const PeerStatus &Peer : m_raft.peers()) {
-    const auto &Desired = m_options.m_desiredVoters;
-    bool Wanted =
-        std::find(Desired.begin(), Desired.end(), Peer.m_node) != Desired.end();
-    if (!Wanted || Peer.m_identity.empty() || Peer.m_rolledBack)
+    if (!IsDesired(Peer.m_node) || Peer.m_identity.empty() || Peer.m_rolledBack)
       continue;
     std::erase_if(Goal.m_voters, [&](const Voter &Member) {
       return Member.m_node == Peer.m_node;
--- a/packages/node/turmericdyke/src/Node/ControlCore.h
+++ b/packages/node/turmericdyke/src/Node/ControlCore.h
@@ -56,6 +56,9 @@
   void tick(Instant Now, absl::Time Wall, absl::BitGenRef Random);
   /// Submits a command; its completion carries the returned ticket.
   std::uint64_t submit(Instant Now, const Command &Value);
+  /// Replaces the other nodes and the voters wanted. From now on the leader
+  /// also takes voters out of the set that are not wanted.
+  void setCluster(std::vector<NodeId> Peers, std::vector<NodeId> Voters);
   /// Hands leadership to another voter before a planned stop.
   void handOver(Instant Now);
 
@@ -112,6 +115,8 @@
   ControlOutput m_output;
   Instant m_nextLogTime = absl::InfinitePast();
   Instant m_nextVoterStep = absl::InfinitePast();
+  /// The voters wanted are the only ones, not additions to the present ones.
+  bool m_exactVoters = false;
   std::uint64_t m_snapshotIndex = 0;
   bool m_snapshotPending = false;
   /// Ticket of the command that closes earlier calls; 0 before it is submitted.
--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -177,16 +177,22 @@
       State = bootstrapState(
           std::string(internal::VolatileIdentity),
           {{{m_settings.m_node, std::string(internal::VolatileIdentity)}}});
-    m_core.emplace(coreOptions(), State, monotonicNow(), m_random);
-    turn();
+    startCore(State);
     return true;
   }
   if (m_directory->isEmpty() && !bootstrapDirectory())
     return false;
   State = m_directory->load();
+  startCore(State);
+  return true;
+}
+
+void ControlLoop::startCore(const PersistentState &State) {
   m_core.emplace(coreOptions(), State, monotonicNow(), m_random);
+  m_driver.emplace(
+      *m_core, m_directory ? &*m_directory : nullptr,
+      [this](ControlOutput Output) { deliver(std::move(Output)); });
   turn();
-  return true;
 }
 
 bool ControlLoop::bootstrapDirectory() {
@@ -284,27 +290,9 @@
 }
 
 void ControlLoop::turn() {
-  // A written snapshot is an event too: the leader may then have to send it to
-  // a follower, and the next message must not find that undone.
-  do {
-    while (m_core->hasActions())
-      persistActions();
-    deliver(m_core->takeOutput());
-  } while (m_core->hasActions());
-}
-
-void ControlLoop::persistActions() {
-  if (m_directory && m_core->storageActions().needsSync()) {
-    auto Written = m_directory->persist(m_core->storageActions());
-    if (!Written) {
-      LogLine(LogLevel::Error, "storage_failed")
-          .field("reason", Written.error().m_message);
-      m_services.m_metrics.set("turmericdyke_storage_failed", 1);
-      m_core->storageFailed();
-      return;
-    }
-  }
-  m_core->finish(monotonicNow());
+  m_driver->turn();
+  if (m_driver->storageFailed())
+    m_services.m_metrics.set("turmericdyke_storage_failed", 1);
 }
 
 void ControlLoop::deliver(ControlOutput Output) {
@@ -321,28 +309,10 @@
     Found->second->complete({Done.m_status, std::move(Done.m_result)});
     m_waiters.erase(Found);
   }
-  if (Output.m_snapshot)
-    writeSnapshot(*Output.m_snapshot);
   if (Output.m_stateChanged)
     publish(monotonicNow());
 }
 
-void ControlLoop::writeSnapshot(const Snapshot &Value) {
-  if (m_directory) {
-    auto Written = m_directory->writeSnapshot(Value);
-    if (!Written) {
-      LogLine(LogLevel::Error, "snapshot_failed")
-          .field("reason", Written.error().m_message);
-      m_core->storageFailed();
-      return;
-    }
-  }
-  m_core->snapshotWritten(Value);
-  LogLine(LogLevel::Info, "snapshot_written")
-      .field("index", Value.m_index)
-      .field("bytes", Value.m_data.size());
-}
-
 void ControlLoop::sendAll(const std::vector<AddressedMessage> &Messages) {
   if (!m_transport)
     return;
--- a/packages/node/turmericdyke/src/Node/ControlLoop.h
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.h
@@ -20,6 +20,7 @@
 #include "turmericdyke/src/Edge/EdgeServices.h"
 #include "turmericdyke/src/Node/Bootstrap.h"
 #include "turmericdyke/src/Node/ControlCore.h"
+#include "turmericdyke/src/Node/CoreDriver.h"
 #include "turmericdyke/src/Node/FleetSide.h"
 #include "turmericdyke/src/Node/OrderSender.h"
 #include "turmericdyke/src/Node/QuotaSide.h"
@@ -72,6 +73,7 @@
   /// Creates `m_core`; false when the cluster cannot be formed or the loop is
   /// stopped.
   bool formCluster();
+  void startCore(const PersistentState &State);
   bool bootstrapDirectory();
   /// Serves what can be served before or without the replicated state.
   void handleWithoutCore(Event &Value);
@@ -79,10 +81,8 @@
   bool stopped();
   void handle(Event &Value);
   void turn();
-  void persistActions();
   void deliver(ControlOutput Output);
   void sendAll(const std::vector<AddressedMessage> &Messages);
-  void writeSnapshot(const Snapshot &Value);
   void stepFleet(Instant Now);
   void publish(Instant Now);
   QuotaInput quotaInput(Instant Now, const ClusterView &View) const;
@@ -107,6 +107,7 @@
   // Of the control thread only.
   absl::BitGen m_random;
   std::optional<ControlCore> m_core;
+  std::optional<CoreDriver> m_driver;
   std::optional<FleetSide> m_fleet;
   std::optional<QuotaSide> m_quota;
   std::set<std::uint64_t> m_fleetTickets;
--- /dev/null
+++ b/packages/node/turmericdyke/src/Node/CoreDriver.cpp
@@ -0,0 +1,55 @@
+#include "turmericdyke/src/Node/CoreDriver.h"
+
+#include <utility>
+
+#include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Storage/DataDirectory.h"
+
+namespace turmericdyke {
+
+CoreDriver::CoreDriver(ControlCore &Core, DataDirectory *Directory,
+                       Deliver OnOutput)
+    : m_core(Core), m_directory(Directory), m_deliver(std::move(OnOutput)) {}
+
+void CoreDriver::turn() {
+  // A written snapshot is an event too: the leader may then have to send it to
+  // a follower, and the next message must not find that undone.
+  do {
+    while (m_core.hasActions())
+      persistActions();
+    ControlOutput Output = m_core.takeOutput();
+    std::optional<Snapshot> Snapshot = std::exchange(Output.m_snapshot, {});
+    m_deliver(std::move(Output));
+    if (Snapshot)
+      writeSnapshot(*Snapshot);
+  } while (m_core.hasActions());
+}
+
+void CoreDriver::persistActions() {
+  if (m_directory != nullptr && m_core.storageActions().needsSync()) {
+    auto Written = m_directory->persist(m_core.storageActions());
+    if (!Written)
+      return fail("storage_failed", Written.error().m_message);
+  }
+  m_core.finish(monotonicNow());
+}
+
+void CoreDriver::writeSnapshot(const Snapshot &Value) {
+  if (m_directory != nullptr) {
+    auto Written = m_directory->writeSnapshot(Value);
+    if (!Written)
+      return fail("snapshot_failed", Written.error().m_message);
+  }
+  m_core.snapshotWritten(Value);
+  LogLine(LogLevel::Info, "snapshot_written")
+      .field("index", Value.m_index)
+      .field("bytes", Value.m_data.size());
+}
+
+void CoreDriver::fail(std::string_view Event, std::string_view Reason) {
+  LogLine(LogLevel::Error, Event).field("reason", Reason);
+  m_storageFailed = true;
+  m_core.storageFailed();
+}
+
+} // namespace turmericdyke
--- a/packages/peer/test/RelaySocket.h
+++ b/packages/peer/test/RelaySocket.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
-#include "turmericdyke/src/Peer/Sockets.h"
+#include "turmericdyke/src/Loop/Sockets.h"
 
 /// Forwards bytes between its own loopback address and another one. `freeze`
 /// stops passing bytes on the connections that exist, without closing them,
--- a/packages/peer/turmericdyke/src/Peer/Http2Connection.h
+++ b/packages/peer/turmericdyke/src/Peer/Http2Connection.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "turmericdyke/src/Peer/Sockets.h"
+#include "turmericdyke/src/Loop/Sockets.h"
 
 struct nghttp2_session;
 
--- a/packages/peer/turmericdyke/src/Peer/OutgoingPeer.cpp
+++ b/packages/peer/turmericdyke/src/Peer/OutgoingPeer.cpp
@@ -52,7 +52,7 @@
 void OutgoingPeer::connect(Instant Now) {
   const PeerTransportOptions &Options = m_context.m_options;
   m_lastUse = Now;
-  Result<Descriptor, PeerError> Socket = connectTo(m_address);
+  Result<Descriptor, SocketError> Socket = connectTo(m_address);
   if (!Socket) {
     LogLine(LogLevel::Warning, "peer_connect_failed")
         .field("address", m_address)
--- a/packages/peer/turmericdyke/src/Peer/PeerMessages.cpp
+++ b/packages/peer/turmericdyke/src/Peer/PeerMessages.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr std::string_view KindNames[] = {
-    "hello",         "raft",           "lease_request", "lease_grant",
-    "propose",       "propose_result", "swim",          "target_digest",
-    "quota_request", "quota_grant",    "bootstrap"};
+    "hello",          "raft",   "lease_request", "lease_grant",   "propose",
+    "propose_result", "swim",   "target_digest", "quota_request", "quota_grant",
+    "bootstrap",      "roster", "feed_request",  "feed_update"};
 static_assert(std::size(KindNames) == PeerMessageKinds);
 
 constexpr std::string_view StatusNames[] = {"committed", "not_leader",
@@ -114,6 +114,18 @@
   return internal::toCbor(toJson(Message));
 }
 
+std::string encode(const RosterMessage &Message) {
+  return internal::toCbor(toJson(Message));
+}
+
+std::string encode(const FeedRequest &Message) {
+  return internal::toCbor(toJson(Message));
+}
+
+std::string encode(const FeedUpdate &Message) {
+  return internal::toCbor(toJson(Message));
+}
+
 Result<LeaseRequest, PeerError> decodeLeaseRequest(std::string_view Bytes) {
   Result<nlohmann::json, PeerError> Value = internal::fromCbor(Bytes);
   if (!Value)
@@ -182,4 +194,16 @@
   return internal::decodeFleet<QuotaGrant>(Bytes, parseQuotaGrant);
 }
 
+Result<RosterMessage, PeerError> decodeRoster(std::string_view Bytes) {
+  return internal::decodeFleet<RosterMessage>(Bytes, parseRosterMessage);
+}
+
+Result<FeedRequest, PeerError> decodeFeedRequest(std::string_view Bytes) {
+  return internal::decodeFleet<FeedRequest>(Bytes, parseFeedRequest);
+}
+
+Result<FeedUpdate, PeerError> decodeFeedUpdate(std::string_view Bytes) {
+  return internal::decodeFleet<FeedUpdate>(Bytes, parseFeedUpdate);
+}
+
 } // namespace turmericdyke
--- a/packages/peer/turmericdyke/src/Peer/PeerMessages.h
+++ b/packages/peer/turmericdyke/src/Peer/PeerMessages.h
@@ -7,6 +7,7 @@
 
 #include "turmericdyke/src/Base/Result.h"
 #include "turmericdyke/src/Base/StringId.h"
+#include "turmericdyke/src/Fleet/FeedMessage.h"
 #include "turmericdyke/src/Fleet/QuotaMessage.h"
 #include "turmericdyke/src/Fleet/SwimMessage.h"
 #include "turmericdyke/src/Fleet/TargetDigest.h"
@@ -26,9 +27,12 @@
   QuotaRequest,
   QuotaGrant,
   Bootstrap,
+  Roster,
+  FeedRequest,
+  FeedUpdate,
 };
 
-inline constexpr std::size_t PeerMessageKinds = 11;
+inline constexpr std::size_t PeerMessageKinds = 14;
 
 /// The name on the wire, the last part of the path `/peer/v1/KIND`.
 std::string_view nameOf(PeerMessageKind Kind);
@@ -80,6 +84,9 @@
 std::string encode(const TargetDigest &Message);
 std::string encode(const QuotaRequest &Message);
 std::string encode(const QuotaGrant &Message);
+std::string encode(const RosterMessage &Message);
+std::string encode(const FeedRequest &Message);
+std::string encode(const FeedUpdate &Message);
 
 Result<LeaseRequest, PeerError> decodeLeaseRequest(std::string_view Bytes);
 Result<LeaseGrant, PeerError> decodeLeaseGrant(std::string_view Bytes);
@@ -89,5 +96,8 @@
 Result<TargetDigest, PeerError> decodeTargetDigest(std::string_view Bytes);
 Result<QuotaRequest, PeerError> decodeQuotaRequest(std::string_view Bytes);
 Result<QuotaGrant, PeerError> decodeQuotaGrant(std::string_view Bytes);
+Result<RosterMessage, PeerError> decodeRoster(std::string_view Bytes);
+Result<FeedRequest, PeerError> decodeFeedRequest(std::string_view Bytes);
+Result<FeedUpdate, PeerError> decodeFeedUpdate(std::string_view Bytes);
 
 } // namespace turmericdyke
--- a/packages/peer/turmericdyke/src/Peer/PeerTransport.cpp
+++ b/packages/peer/turmericdyke/src/Peer/PeerTransport.cpp
@@ -41,7 +41,8 @@
                                        "the cluster secret is empty"));
   auto Listener = internal::listenOn(Options.m_listenAddress);
   if (!Listener)
-    return failure(Listener.error());
+    return failure(
+        PeerError{PeerErrorCode::Socket, Listener.error().m_message});
   internal::Descriptor Wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
   if (Wake.get() < 0)
     return failure(internal::peerError(PeerErrorCode::Socket, "no eventfd"));
--- a/packages/peer/turmericdyke/src/Peer/PeerTransport.h
+++ b/packages/peer/turmericdyke/src/Peer/PeerTransport.h
@@ -12,9 +12,9 @@
 #include "absl/synchronization/mutex.h"
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Base/Result.h"
+#include "turmericdyke/src/Loop/Sockets.h"
 #include "turmericdyke/src/Peer/PeerCounters.h"
 #include "turmericdyke/src/Peer/PeerTransportOptions.h"
-#include "turmericdyke/src/Peer/Sockets.h"
 
 namespace turmericdyke {
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -21,7 +21,7 @@
 start() {
   local name=$1
   shift
-  "$@" 2>"$work/$name.log" &
+  "$@" >"$work/$name.log" 2>&1 &
   pids+=($!)
 }
 
