Divide servers by their number, listen before the first groups, stage spares

Cause: a model's declared share is a share of the servers' work, but supply was counted in groups, so the large model got too many; groups were formed while servers were still announcing themselves, so a model could end up without any; a lost member waited for a load of 12 to 16 s.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -27,6 +27,9 @@
 /// A new leader listens this long before it acts: two intervals between
 /// announcements of 1.2 s, and a margin.
 constexpr absl::Duration SettleTime = absl::Seconds(3);
+/// The first leader ever has no groups to take up. It waits for one interval
+/// between announcements, so that groups are formed with all servers in view.
+constexpr absl::Duration FirstSettleTime = absl::Milliseconds(1500);
 /// A plain server that was silent for this long is not offered any more: its
 /// announcements may be late by seconds, and entry nodes notice a crash
 /// themselves.
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <utility>
 
 #include <fmt/format.h>
@@ -28,7 +29,8 @@
 } // namespace internal
 
 std::string_view nameOf(GroupOrderKind Kind) {
-  constexpr std::string_view Names[] = {"join", "open", "close", "leave"};
+  constexpr std::string_view Names[] = {"join", "open", "close", "leave",
+                                        "stage"};
   return Names[static_cast<std::size_t>(Kind)];
 }
 
@@ -349,7 +351,7 @@
   for (const auto &[Epoch, G] : m_groups)
     if (G.m_service == Service.m_id && G.m_model == Model.m_name &&
         G.m_phase <= GroupPhase::Serving)
-      Supply += 1 / Model.m_pace;
+      Supply += static_cast<double>(G.m_members.size());
   auto Asked = m_input->m_demand.find(Model.m_name);
   double Demand =
       Asked == m_input->m_demand.end() ? Model.m_share : Asked->second;
@@ -400,6 +402,76 @@
   while (const EngineModel *Model = neediest(Service, Without))
     if (!formOne(Service, *Model, Free))
       Without.insert(Model->m_name);
+  stageSpares(Service, Free);
+}
+
+bool GroupPlanner::eatsSpares(const ServiceEntry &Service,
+                              const EngineModel &Model, const FreeServers &Free,
+                              std::int64_t Warm) const {
+  if (Warm + 1 >= static_cast<std::int64_t>(Model.m_members))
+    return false;
+  std::size_t Servers = 0;
+  for (const auto &[Id, Server] : m_input->m_servers->all())
+    if (Server.m_said.m_service == Service.m_id)
+      ++Servers;
+  std::size_t Left = 0;
+  for (const auto &[Domain, Members] : Free)
+    Left += Members.size();
+  double Spares =
+      std::floor(static_cast<double>(Servers) * m_options.m_spareShare);
+  return static_cast<double>(Left) - static_cast<double>(Model.m_members) <
+         Spares;
+}
+
+const EngineModel *
+GroupPlanner::modelToStage(const ServiceEntry &Service,
+                           const FabricDomainId &Domain) const {
+  // The largest groups of the domain are the ones that a spare repairs most
+  // often, and the hardest to form anew.
+  const EngineModel *Best = nullptr;
+  for (const auto &[Epoch, G] : m_groups) {
+    const ServerRecord *Head = m_input->m_servers->find(G.head());
+    if (Head == nullptr || Head->m_said.m_fabricDomain != Domain)
+      continue;
+    const EngineModel *Model = Service.m_engine->model(G.m_model);
+    if (Model != nullptr &&
+        (Best == nullptr || Model->m_members > Best->m_members))
+      Best = Model;
+  }
+  return Best;
+}
+
+void GroupPlanner::stageSpares(const ServiceEntry &Service,
+                               const FreeServers &Free) {
+  std::int64_t Running = loadsRunning();
+  for (const auto &[Domain, Servers] : Free) {
+    const EngineModel *Model = modelToStage(Service, Domain);
+    if (Model == nullptr)
+      continue;
+    for (const ServerRecord *Server : Servers) {
+      const ServerAnnouncement &Said = Server->m_said;
+      if (!Said.m_stagedModels.empty() || Said.m_group)
+        continue;
+      auto [Told, New] = m_staging.try_emplace(Said.m_id, absl::InfinitePast());
+      if (m_now - Told->second < Model->m_loadTime + m_options.m_formingSlack)
+        continue;
+      if (m_input->m_trafficSeen &&
+          (Running >= Service.m_engine->m_loadsAtOnce ||
+           !m_pacer.tryTake(m_now, 1)))
+        return;
+      Told->second = m_now;
+      ++Running;
+      GroupOrder Order;
+      Order.m_kind = GroupOrderKind::Stage;
+      Order.m_target = Said.m_id;
+      Order.m_address = Said.m_address;
+      Order.m_model = Model->m_name;
+      m_orders.push_back(std::move(Order));
+    }
+  }
+  std::erase_if(m_staging, [this](const auto &Entry) {
+    return m_input->m_servers->find(Entry.first) == nullptr;
+  });
 }
 
 bool GroupPlanner::formOne(const ServiceEntry &Service,
@@ -423,7 +495,7 @@
       BestScore = Score;
     }
   }
-  if (Best == nullptr)
+  if (Best == nullptr || eatsSpares(Service, Model, Free, -BestScore.first))
     return false;
   std::stable_sort(Best->begin(), Best->end(),
                    [&](const ServerRecord *A, const ServerRecord *B) {
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -15,18 +15,19 @@
 
 namespace turmericdyke {
 
-enum class GroupOrderKind { Join, Open, Close, Leave };
+enum class GroupOrderKind { Join, Open, Close, Leave, Stage };
 
 std::string_view nameOf(GroupOrderKind Kind);
 
-/// An order to one server about its place in a group.
+/// An order to one server about its place in a group, or about the weights on
+/// its host.
 struct GroupOrder {
   GroupOrderKind m_kind = GroupOrderKind::Join;
   TargetId m_target;
   std::string m_address;
   std::string m_group;
   std::uint64_t m_epoch = 0;
-  /// Join only.
+  /// Join and stage only.
   std::string m_model;
   /// Join only; the head first.
   std::vector<TargetId> m_members;
@@ -86,6 +87,10 @@
   /// time, is given up.
   double m_formingLoadTimes = 4;
   absl::Duration m_formingSlack = absl::Seconds(10);
+  /// Part of a service's servers that is kept as spares with the weights on
+  /// their hosts: a member that is lost is then replaced within seconds, not
+  /// after a load.
+  double m_spareShare = 0.06;
 };
 
 /// What the planner decides from.
@@ -183,6 +188,12 @@
                      const EngineModel &Model) const;
   bool formOne(const ServiceEntry &Service, const EngineModel &Model,
                FreeServers &Free);
+  /// Whether forming a group would use up the spares without repairing one.
+  bool eatsSpares(const ServiceEntry &Service, const EngineModel &Model,
+                  const FreeServers &Free, std::int64_t Warm) const;
+  void stageSpares(const ServiceEntry &Service, const FreeServers &Free);
+  const EngineModel *modelToStage(const ServiceEntry &Service,
+                                  const FabricDomainId &Domain) const;
   std::int64_t loadsRunning() const;
 
   GroupPlannerOptions m_options;
@@ -190,6 +201,8 @@
   std::uint64_t m_nextEpoch = 0;
   std::map<std::uint64_t, Group> m_groups;
   LoadPacer m_pacer;
+  /// When each free server was told to fetch weights.
+  std::map<TargetId, Instant> m_staging;
   std::vector<GroupEvent> m_events;
 
   // Of the present step.
