--- a/packages/http/turmericdyke/src/Http/HttpReader.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -72,6 +72,7 @@
   m_headDone = false;
   m_ended = false;
   m_valueSeen = false;
+  m_wrongName = false;
   m_name.clear();
   m_value.clear();
   m_request = HttpRequest();
@@ -83,6 +84,10 @@
     return;
   HttpFields &Fields =
       m_side == Side::Requests ? m_request.m_fields : m_response.m_fields;
+  // The library lets a space in a name pass; another reader of the message could
+  // take "Content-Length :" for a length.
+  if (m_name.find(' ') != std::string::npos)
+    m_wrongName = true;
   // A line after the body of a chunked message is a trailer, which nobody here
   // reads.
   if (!m_headDone)
@@ -115,6 +120,9 @@
                                       m_response.m_status != 304;
   }
   constexpr int SkipBody = 1;
+  constexpr int Refuse = -1;
+  if (m_wrongName)
+    return Refuse;
   return m_events.onHead() ? 0 : SkipBody;
 }
 
@@ -126,6 +134,8 @@
     if (m_headBytes > m_maxHeadBytes)
       return HttpReadStatus::HeadTooLarge;
   }
+  if (m_wrongName)
+    return HttpReadStatus::Malformed;
   http_errno Error = HTTP_PARSER_ERRNO(&m_parser->m_state);
   if (Error == HPE_HEADER_OVERFLOW)
     return HttpReadStatus::HeadTooLarge;
--- a/packages/http/turmericdyke/src/Http/HttpReader.h
+++ b/packages/http/turmericdyke/src/Http/HttpReader.h
@@ -75,6 +75,7 @@
   bool m_headDone = false;
   bool m_ended = false;
   bool m_valueSeen = false;
+  bool m_wrongName = false;
   std::string m_name;
   std::string m_value;
   HttpRequest m_request;
