Keep a second model on hosts, and move servers to the model that lacks them

Change: before the first request, when loads are cheap, hosts of serving groups fetch the other model; their members keep their own in memory, so they join either within 2 s. A model gets no group beyond 1.5 times the neediest one's supply, and gives one up where the neediest can then form a warm group; the fabric domain is reserved for it meanwhile.

--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -17,13 +17,9 @@
 constexpr int EpochBits = 20;
 
 /// A model gets no further group once it has this many times the supply of the
-/// neediest one: the servers are better kept as spares.
-constexpr double MostOversupply = 2.5;
-
-bool holdsWeights(const ServerRecord &Server, std::string_view Model) {
-  const std::vector<std::string> &Staged = Server.m_said.m_stagedModels;
-  return std::find(Staged.begin(), Staged.end(), Model) != Staged.end();
-}
+/// neediest one, and gives one up for it: a group of two servers more or less
+/// must not move the balance back and forth.
+constexpr double MostOversupply = 1.5;
 
 } // namespace
 } // namespace internal
@@ -143,6 +139,9 @@
   assert(leading() && "only a leader plans");
   m_now = Now;
   m_input = &Input;
+  std::erase_if(m_reserved, [Now](const auto &Entry) {
+    return Now >= Entry.second.m_until;
+  });
   adoptStrays();
   for (auto &[Epoch, G] : m_groups)
     stepGroup(G);
@@ -185,6 +184,9 @@
         G.m_members.resize(Rank + 1);
       G.m_members[Rank].m_id = Server->m_said.m_id;
       G.m_members[Rank].m_bornMillis = Server->m_said.m_bornMillis;
+      if (Server->m_said.m_group->m_state != MemberState::Joining)
+        m_inMemory[Server->m_said.m_id] = {Server->m_said.m_bornMillis,
+                                           First.m_model};
     }
     bool Whole = Model != nullptr && G.m_members.size() == Model->m_members &&
                  Servers.size() == Model->m_members;
@@ -224,8 +226,11 @@
     if (View == MemberView::Elsewhere)
       order(G, M, GroupOrderKind::Join);
     const ServerRecord *Server = present(G, M);
-    AllReady = AllReady && Server != nullptr &&
-               Server->m_said.m_group->m_state != MemberState::Joining;
+    bool Ready = Server != nullptr &&
+                 Server->m_said.m_group->m_state != MemberState::Joining;
+    if (Ready)
+      m_inMemory[M.m_id] = {M.m_bornMillis, G.m_model};
+    AllReady = AllReady && Ready;
   }
   if (AllReady) {
     enter(G, GroupPhase::Opening, "all members ready");
@@ -355,6 +360,9 @@
   auto Asked = m_input->m_demand.find(Model.m_name);
   double Demand =
       Asked == m_input->m_demand.end() ? Model.m_share : Asked->second;
+  for (const auto &[Domain, Held] : m_reserved)
+    if (Held.m_model == Model.m_name)
+      Supply += static_cast<double>(Model.m_members);
   constexpr double LeastDemand = 1e-3;
   return Supply / std::max(Demand, LeastDemand);
 }
@@ -382,6 +390,17 @@
   return Best;
 }
 
+bool GroupPlanner::holdsWeights(const ServerRecord &Server,
+                                std::string_view Model) const {
+  const ServerAnnouncement &Said = Server.m_said;
+  const std::vector<std::string> &Staged = Said.m_stagedModels;
+  if (std::find(Staged.begin(), Staged.end(), Model) != Staged.end())
+    return true;
+  auto Last = m_inMemory.find(Said.m_id);
+  return Last != m_inMemory.end() && Last->second.first == Said.m_bornMillis &&
+         Last->second.second == Model;
+}
+
 std::int64_t GroupPlanner::loadsRunning() const {
   std::int64_t Running = 0;
   for (const auto &[Epoch, G] : m_groups) {
@@ -389,7 +408,7 @@
       continue;
     for (const Member &M : G.m_members) {
       const ServerRecord *Server = m_input->m_servers->find(M.m_id);
-      if (Server != nullptr && !internal::holdsWeights(*Server, G.m_model))
+      if (Server != nullptr && !holdsWeights(*Server, G.m_model))
         ++Running;
     }
   }
@@ -399,10 +418,46 @@
 void GroupPlanner::formGroups(const ServiceEntry &Service) {
   FreeServers Free = freeServers(Service.m_id);
   std::set<std::string> Without;
-  while (const EngineModel *Model = neediest(Service, Without))
-    if (!formOne(Service, *Model, Free))
-      Without.insert(Model->m_name);
+  while (const EngineModel *Model = neediest(Service, Without)) {
+    if (formOne(Service, *Model, Free))
+      continue;
+    if (Without.empty() && m_input->m_trafficSeen)
+      borrowFor(Service, *Model, Free);
+    Without.insert(Model->m_name);
+  }
   stageSpares(Service, Free);
+  if (!m_input->m_trafficSeen)
+    stageSecondModels(Service);
+}
+
+void GroupPlanner::stage(const ServerRecord &Server, const EngineModel &Model) {
+  m_staging[Server.m_said.m_id] = m_now;
+  GroupOrder Order;
+  Order.m_kind = GroupOrderKind::Stage;
+  Order.m_target = Server.m_said.m_id;
+  Order.m_address = Server.m_said.m_address;
+  Order.m_model = Model.m_name;
+  m_orders.push_back(std::move(Order));
+}
+
+void GroupPlanner::stageSecondModels(const ServiceEntry &Service) {
+  for (const auto &[Epoch, G] : m_groups) {
+    if (G.m_phase != GroupPhase::Serving || G.m_service != Service.m_id)
+      continue;
+    const EngineModel *Second = nullptr;
+    for (const EngineModel &Model : Service.m_engine->m_models)
+      if (Model.m_name != G.m_model &&
+          (Second == nullptr || Model.m_members > Second->m_members))
+        Second = &Model;
+    if (Second == nullptr)
+      return;
+    for (const Member &M : G.m_members) {
+      const ServerRecord *Server = present(G, M);
+      if (Server != nullptr && !holdsWeights(*Server, Second->m_name) &&
+          m_staging.count(M.m_id) == 0)
+        stage(*Server, *Second);
+    }
+  }
 }
 
 bool GroupPlanner::eatsSpares(const ServiceEntry &Service,
@@ -423,6 +478,53 @@
          Spares;
 }
 
+std::size_t GroupPlanner::warmServers(const EngineModel &Model,
+                                      const FreeServers &Free,
+                                      const FabricDomainId &Domain,
+                                      const Group &Closed) const {
+  std::size_t Warm = 0;
+  auto Here = Free.find(Domain);
+  if (Here != Free.end())
+    for (const ServerRecord *Server : Here->second)
+      Warm += holdsWeights(*Server, Model.m_name) ? 1 : 0;
+  for (const Member &M : Closed.m_members) {
+    const ServerRecord *Server = present(Closed, M);
+    Warm += Server != nullptr && holdsWeights(*Server, Model.m_name) ? 1 : 0;
+  }
+  return Warm;
+}
+
+void GroupPlanner::borrowFor(const ServiceEntry &Service,
+                             const EngineModel &Model,
+                             const FreeServers &Free) {
+  Group *Best = nullptr;
+  std::size_t MostWarm = 0;
+  FabricDomainId BestDomain;
+  for (auto &[Epoch, G] : m_groups) {
+    const EngineModel *Other = Service.m_engine->model(G.m_model);
+    if (G.m_phase != GroupPhase::Serving || G.m_service != Service.m_id ||
+        Other == nullptr || Other == &Model)
+      continue;
+    if (supplyRatio(Service, *Other) <
+        supplyRatio(Service, Model) * internal::MostOversupply)
+      continue;
+    const ServerRecord *Head = m_input->m_servers->find(G.head());
+    if (Head == nullptr || m_reserved.count(Head->m_said.m_fabricDomain) > 0)
+      continue;
+    std::size_t Warm = warmServers(Model, Free, Head->m_said.m_fabricDomain, G);
+    if (Warm < Model.m_members || Warm < MostWarm)
+      continue;
+    Best = &G;
+    MostWarm = Warm;
+    BestDomain = Head->m_said.m_fabricDomain;
+  }
+  if (Best == nullptr)
+    return;
+  m_reserved[BestDomain] = {Model.m_name, m_now + m_options.m_reserveFor};
+  enter(*Best, GroupPhase::Closing,
+        fmt::format("servers for a group of {}", Model.m_name));
+}
+
 const EngineModel *
 GroupPlanner::modelToStage(const ServiceEntry &Service,
                            const FabricDomainId &Domain) const {
@@ -459,31 +561,31 @@
           (Running >= Service.m_engine->m_loadsAtOnce ||
            !m_pacer.tryTake(m_now, 1)))
         return;
-      Told->second = m_now;
       ++Running;
-      GroupOrder Order;
-      Order.m_kind = GroupOrderKind::Stage;
-      Order.m_target = Said.m_id;
-      Order.m_address = Said.m_address;
-      Order.m_model = Model->m_name;
-      m_orders.push_back(std::move(Order));
+      stage(*Server, *Model);
     }
   }
-  std::erase_if(m_staging, [this](const auto &Entry) {
+  auto Unknown = [this](const auto &Entry) {
     return m_input->m_servers->find(Entry.first) == nullptr;
-  });
+  };
+  std::erase_if(m_staging, Unknown);
+  std::erase_if(m_inMemory, Unknown);
 }
 
 bool GroupPlanner::formOne(const ServiceEntry &Service,
                            const EngineModel &Model, FreeServers &Free) {
   std::vector<const ServerRecord *> *Best = nullptr;
+  FabricDomainId BestDomain;
   std::pair<std::int64_t, std::size_t> BestScore;
   for (auto &[Domain, Servers] : Free) {
     if (Servers.size() < Model.m_members)
       continue;
+    auto Held = m_reserved.find(Domain);
+    if (Held != m_reserved.end() && Held->second.m_model != Model.m_name)
+      continue;
     std::int64_t Warm = std::count_if(
         Servers.begin(), Servers.end(), [&](const ServerRecord *Server) {
-          return internal::holdsWeights(*Server, Model.m_name);
+          return holdsWeights(*Server, Model.m_name);
         });
     Warm = std::min<std::int64_t>(Warm,
                                   static_cast<std::int64_t>(Model.m_members));
@@ -492,6 +594,7 @@
     std::pair Score{-Warm, Servers.size()};
     if (Best == nullptr || Score < BestScore) {
       Best = &Servers;
+      BestDomain = Domain;
       BestScore = Score;
     }
   }
@@ -499,8 +602,8 @@
     return false;
   std::stable_sort(Best->begin(), Best->end(),
                    [&](const ServerRecord *A, const ServerRecord *B) {
-                     return internal::holdsWeights(*A, Model.m_name) >
-                            internal::holdsWeights(*B, Model.m_name);
+                     return holdsWeights(*A, Model.m_name) >
+                            holdsWeights(*B, Model.m_name);
                    });
   double Loads = static_cast<double>(Model.m_members) +
                  static_cast<double>(BestScore.first);
@@ -509,6 +612,7 @@
       (loadsRunning() >= Service.m_engine->m_loadsAtOnce ||
        !m_pacer.tryTake(m_now, Loads)))
     return false;
+  m_reserved.erase(BestDomain);
   Group G;
   G.m_epoch = m_nextEpoch++;
   G.m_name = fmt::format("g{}", G.m_epoch);
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -87,6 +87,9 @@
   /// time, is given up.
   double m_formingLoadTimes = 4;
   absl::Duration m_formingSlack = absl::Seconds(10);
+  /// How long a fabric domain is reserved for the model that a group was closed
+  /// for: its head finishes its requests first.
+  absl::Duration m_reserveFor = absl::Seconds(4);
   /// Part of a service's servers that is kept as spares with the weights on
   /// their hosts: a member that is lost is then replaced within seconds, not
   /// after a load.
@@ -191,7 +194,23 @@
   /// Whether forming a group would use up the spares without repairing one.
   bool eatsSpares(const ServiceEntry &Service, const EngineModel &Model,
                   const FreeServers &Free, std::int64_t Warm) const;
+  /// Closes a group of a better supplied model where its members and the free
+  /// servers of its fabric domain then suffice for a group of `Model`.
+  void borrowFor(const ServiceEntry &Service, const EngineModel &Model,
+                 const FreeServers &Free);
   void stageSpares(const ServiceEntry &Service, const FreeServers &Free);
+  /// Before the first request, puts a second model on the hosts of groups that
+  /// serve: their members keep their own model in memory and can then join a
+  /// group of either within seconds.
+  void stageSecondModels(const ServiceEntry &Service);
+  void stage(const ServerRecord &Server, const EngineModel &Model);
+  /// Whether a server can join a group of the model without a load.
+  bool holdsWeights(const ServerRecord &Server, std::string_view Model) const;
+  /// Servers of the domain that could join a group of the model without a load:
+  /// free ones and the members of `Closed`.
+  std::size_t warmServers(const EngineModel &Model, const FreeServers &Free,
+                          const FabricDomainId &Domain,
+                          const Group &Closed) const;
   const EngineModel *modelToStage(const ServiceEntry &Service,
                                   const FabricDomainId &Domain) const;
   std::int64_t loadsRunning() const;
@@ -201,7 +220,17 @@
   std::uint64_t m_nextEpoch = 0;
   std::map<std::uint64_t, Group> m_groups;
   LoadPacer m_pacer;
-  /// When each free server was told to fetch weights.
+  /// A fabric domain where a group was closed for one of another model. The
+  /// servers that come free are not given back to the model that gave them up.
+  struct Reservation {
+    std::string m_model;
+    Instant m_until;
+  };
+  std::map<FabricDomainId, Reservation> m_reserved;
+  /// The model that each life of a server was last ready with; it stays in
+  /// memory.
+  std::map<TargetId, std::pair<std::int64_t, std::string>> m_inMemory;
+  /// When each server was told to fetch weights.
   std::map<TargetId, Instant> m_staging;
   std::vector<GroupEvent> m_events;
 
--- a/packages/http/turmericdyke/src/Http/HttpReader.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -84,8 +84,8 @@
     return;
   HttpFields &Fields =
       m_side == Side::Requests ? m_request.m_fields : m_response.m_fields;
-  // The library lets a space in a name pass; another reader of the message could
-  // take "Content-Length :" for a length.
+  // The library lets a space in a name pass; another reader of the message
+  // could take "Content-Length :" for a length.
   if (m_name.find(' ') != std::string::npos)
     m_wrongName = true;
   // A line after the body of a chunked message is a trailer, which nobody here
