--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,21 @@
 format-check: deps
 	git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs clang-format --dry-run --Werror
 
+# A file is linted again when it, any header or the linter's settings are newer than its stamp.
+LINT_SOURCES = $(shell git ls-files -co --exclude-standard '*.cpp')
+LINT_HEADERS = $(shell git ls-files -co --exclude-standard '*.h') .clang-tidy
+LINT_STAMPS = $(LINT_SOURCES:%=$(BUILD)/lint/%.stamp)
+
+$(BUILD)/lint/%.stamp: % $(LINT_HEADERS)
+	@mkdir -p $(@D)
+	clang-tidy -p $(BUILD) --quiet $<
+	@touch $@
+
+.PHONY: lint-stamps
+lint-stamps: $(LINT_STAMPS)
+
 lint: build
-	git ls-files -co --exclude-standard '*.cpp' | xargs -P 8 -n 1 clang-tidy -p $(BUILD) --quiet
+	$(MAKE) -j 7 --output-sync lint-stamps
 
 check: format-check lint test
 
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -208,9 +208,8 @@
       static_cast<std::uint64_t>(absl::GetCurrentTimeNanos());
   Options.m_peers = m_roster.others();
   m_core.emplace(std::move(Options), State, monotonicNow(), m_random);
-  m_driver.emplace(*m_core, &*m_directory, [this](ControlOutput Output) {
-    deliver(std::move(Output));
-  });
+  m_driver.emplace(*m_core, &*m_directory,
+                   [this](const ControlOutput &Output) { deliver(Output); });
   applyState();
   turn();
   tickCore();
@@ -234,7 +233,7 @@
   }
 }
 
-void CoordinatorNode::deliver(ControlOutput Output) {
+void CoordinatorNode::deliver(const ControlOutput &Output) {
   sendAll(Output.m_messages);
   for (const RaftEvent &Value : Output.m_events)
     LogLine(LogLevel::Info, internal::nameOf(Value.m_kind))
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -57,7 +57,7 @@
   void stepBootstrap();
   void tickCore();
   void turn();
-  void deliver(ControlOutput Output);
+  void deliver(const ControlOutput &Output);
   void sendAll(const std::vector<AddressedMessage> &Messages);
   void onPeerMessage(const ReceivedMessage &Message);
   void tickRoster();
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -57,6 +57,7 @@
       else
         Present[Id] = Draw;
       std::vector<ServingTarget> List;
+      List.reserve(Present.size());
       for (const auto &[Name, Generation] : Present)
         List.push_back(target(Name, Generation));
       Publisher.setTargets(List);
--- a/packages/http/test/HttpReaderTest.cpp
+++ b/packages/http/test/HttpReaderTest.cpp
@@ -38,13 +38,13 @@
 
 // Guards against a request smuggled inside another one.
 TEST_CASE("ambiguous framing is refused") {
-  for (
-      const char *Head :
-      {"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
-       "Transfer-Encoding: chunked\r\n\r\n", // NOLINT(bugprone-suspicious-missing-comma)
-       "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
-       "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
-       "GET / HTTP/1.1\r\nBad Name: x\r\n\r\n", "nonsense\r\n\r\n"}) {
+  const std::string Post = "POST / HTTP/1.1\r\n";
+  for (const std::string &Head :
+       {Post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        Post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        Post + "Content-Length: +3\r\n\r\n",
+        Post + "Content-Length : 3\r\n\r\nabc", Post + "Bad Name: x\r\n\r\n",
+        std::string("nonsense\r\n\r\n")}) {
     CAPTURE(Head);
     Found Events;
     HttpReader Reader(HttpReader::Side::Requests, Events);
