Move streams away from a target that stands still

Cause: until a coordinator had removed a broken group, and throughout a change of the leader, its streams waited up to 4 s for the head to give up.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -199,11 +199,15 @@
   m_connection = m_services.m_pool.take(Target.m_address, MostIdle);
   ++m_services.m_uses[Target.m_id];
   m_services.m_attempts[Target.m_id].insert(this);
+  m_progressed = false;
+  m_watched = m_route->m_kind == RouteKind::Stream;
+  if (m_watched)
+    m_services.m_stalls.begun(m_attemptBegun, Target.m_id);
   m_connection->call(std::move(Bytes), Request.m_method == "HEAD", *this);
 }
 
 std::unique_ptr<HttpClientConnection> EntryExchange::releaseTarget() {
-  if (std::exchange(m_streaming, false))
+  if (std::exchange(m_watched, false))
     m_services.m_stalls.ended(m_target.m_id);
   if (--m_services.m_uses[m_target.m_id] <= 0)
     m_services.m_uses.erase(m_target.m_id);
@@ -271,9 +275,8 @@
   if (Whole.empty())
     return;
   Instant Now = monotonicNow();
-  if (!m_streaming) {
-    m_streaming = true;
-    m_services.m_stalls.begun(Now, m_target.m_id);
+  if (!m_progressed) {
+    m_progressed = true;
     m_services.m_health.succeeded(m_target.m_id);
   }
   m_services.m_stalls.progressed(Now, m_target.m_id);
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -29,7 +29,8 @@
   ~EntryExchange() override;
 
   void begin();
-  /// The group behind the target of the present attempt has ended.
+  /// The target of the present attempt serves no more, or stands still: the
+  /// request goes on elsewhere if its kind allows it.
   void onTargetEnded();
 
   bool onResponseHead(const HttpResponseHead &Head) override;
@@ -89,7 +90,9 @@
   bool m_headSeen = false;
   bool m_invalid = false;
   /// The present attempt has passed on an event.
-  bool m_streaming = false;
+  bool m_progressed = false;
+  /// The present attempt counts in the watch for stalls.
+  bool m_watched = false;
   std::string m_body;
 
   // The caller's answer.
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -186,15 +186,27 @@
   m_feedTimer = m_loop.at(m_feed->nextTick(), [this] { tickFeed(); });
 }
 
+void EntryNode::moveRequests(const TargetId &Target) {
+  auto Found = m_services->m_attempts.find(Target);
+  if (Found == m_services->m_attempts.end())
+    return;
+  std::set<EntryExchange *> Running = Found->second;
+  for (EntryExchange *Exchange : Running)
+    Exchange->onTargetEnded();
+}
+
 void EntryNode::checkStalls() {
   Instant Now = monotonicNow();
-  for (const TargetId &Target : m_services->m_stalls.stalled(Now)) {
+  for (const StallWatch::Stall &Stall : m_services->m_stalls.stalled(Now)) {
     LogLine(LogLevel::Info, "target_stalled")
-        .field("target", Target)
-        .field("running_here", m_services->m_uses[Target])
+        .field("target", Stall.m_target)
+        .field("running_here", m_services->m_uses[Stall.m_target])
+        .field("given_up", Stall.m_abandon)
         .field("term", m_feed->term());
-    m_services->m_health.failed(Now, Target);
-    m_suspects.push_back(Target);
+    m_services->m_health.failed(Now, Stall.m_target);
+    m_suspects.push_back(Stall.m_target);
+    if (Stall.m_abandon)
+      moveRequests(Stall.m_target);
   }
   if (!m_suspects.empty()) {
     m_feed->hurry(Now);
@@ -228,12 +240,7 @@
         .field("running_here", m_services->m_uses.count(Ended) > 0
                                    ? m_services->m_uses.at(Ended)
                                    : 0);
-    auto Found = m_services->m_attempts.find(Ended);
-    if (Found == m_services->m_attempts.end())
-      continue;
-    std::set<EntryExchange *> Running = Found->second;
-    for (EntryExchange *Exchange : Running)
-      Exchange->onTargetEnded();
+    moveRequests(Ended);
   }
   noteInformed();
   if (m_feed->nextTick() <= Now)
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.h
@@ -44,6 +44,8 @@
   void tickFeed();
   /// Names the targets whose streams stand still to the leader.
   void checkStalls();
+  /// Lets requests at a target that serves no more go on elsewhere.
+  void moveRequests(const TargetId &Target);
   void takeRouting(std::string_view Document, std::uint64_t Version);
   void noteInformed();
   bool ready() const;
--- a/packages/serving/test/ServingTest.cpp
+++ b/packages/serving/test/ServingTest.cpp
@@ -200,19 +200,25 @@
 
 // Guards against requests that go on to a group that has lost a member: its
 // streams fall silent long before its announcements are missed.
-TEST_CASE("a target whose begun streams are all silent is named") {
+TEST_CASE("a target whose streams are all silent is named, then given up") {
   StallWatch Watch;
   TargetId Id("a");
   Watch.begun(Start, Id);
-  Watch.begun(Start, Id);
   Instant Later = Start + absl::Milliseconds(500);
   CHECK(Watch.stalled(Later).empty());
   Watch.progressed(Later, Id);
   CHECK(Watch.stalled(Start + absl::Milliseconds(700)).empty());
+  // Another stream that is sent there does not hide the silence.
+  Watch.begun(Later + absl::Milliseconds(600), Id);
   Later += absl::Milliseconds(650);
-  CHECK(Watch.stalled(Later) == std::vector<TargetId>{Id});
+  auto Named = Watch.stalled(Later);
+  REQUIRE(Named.size() == 1);
+  CHECK(Named[0].m_target == Id);
+  CHECK_FALSE(Named[0].m_abandon);
   CHECK(Watch.stalled(Later + absl::Milliseconds(100)).empty());
-  CHECK(Watch.stalled(Later + absl::Milliseconds(450)).size() == 1);
+  Named = Watch.stalled(Later + absl::Milliseconds(600));
+  REQUIRE(Named.size() == 1);
+  CHECK(Named[0].m_abandon);
   Watch.ended(Id);
   Watch.ended(Id);
   CHECK(Watch.stalled(Later + absl::Seconds(5)).empty());
--- a/packages/serving/turmericdyke/src/Serving/StallWatch.cpp
+++ b/packages/serving/turmericdyke/src/Serving/StallWatch.cpp
@@ -5,9 +5,11 @@
 StallWatch::StallWatch(StallWatchOptions Options) : m_options(Options) {}
 
 void StallWatch::begun(Instant Now, const TargetId &Target) {
-  Watched &State = m_targets[Target];
-  ++State.m_streams;
-  State.m_progress = Now;
+  auto [At, New] = m_targets.try_emplace(Target);
+  // A new stream at a target that stands still is no sign of life.
+  if (New)
+    At->second.m_progress = Now;
+  ++At->second.m_streams;
 }
 
 void StallWatch::progressed(Instant Now, const TargetId &Target) {
@@ -22,14 +24,15 @@
     m_targets.erase(Found);
 }
 
-std::vector<TargetId> StallWatch::stalled(Instant Now) {
-  std::vector<TargetId> Named;
+std::vector<StallWatch::Stall> StallWatch::stalled(Instant Now) {
+  std::vector<Stall> Named;
   for (auto &[Target, State] : m_targets) {
     if (Now - State.m_progress < m_options.m_silence ||
         Now - State.m_named < m_options.m_repeatAfter)
       continue;
     State.m_named = Now;
-    Named.push_back(Target);
+    Named.push_back(
+        {Target, Now - State.m_progress >= m_options.m_abandonAfter});
   }
   return Named;
 }
--- a/packages/serving/turmericdyke/src/Serving/StallWatch.h
+++ b/packages/serving/turmericdyke/src/Serving/StallWatch.h
@@ -9,10 +9,13 @@
 namespace turmericdyke {
 
 struct StallWatchOptions {
-  /// A target whose begun streams are all silent for this long stands still.
-  /// Events come every 50 ms at full batches and every 400 ms from a server
-  /// that is eight times too slow.
+  /// A target whose streams are all silent for this long stands still. Events
+  /// come every 50 ms at full batches and every 400 ms from a server that is
+  /// eight times too slow.
   absl::Duration m_silence = absl::Milliseconds(600);
+  /// After this long the streams are worth more at another target, whether or
+  /// not a coordinator can say what is wrong.
+  absl::Duration m_abandonAfter = absl::Milliseconds(1200);
   /// A target is named again after this time if it still stands still.
   absl::Duration m_repeatAfter = absl::Milliseconds(400);
 };
@@ -24,15 +27,20 @@
 public:
   explicit StallWatch(StallWatchOptions Options = {});
 
-  /// A stream of the target has sent its first event.
+  /// A stream was sent to the target.
   void begun(Instant Now, const TargetId &Target);
   /// Any stream of the target has sent something.
   void progressed(Instant Now, const TargetId &Target);
-  /// A begun stream has ended.
+  /// A stream has ended.
   void ended(const TargetId &Target);
 
+  struct Stall {
+    TargetId m_target;
+    /// Its streams should go on elsewhere.
+    bool m_abandon = false;
+  };
   /// The targets that stand still and were not named lately.
-  std::vector<TargetId> stalled(Instant Now);
+  std::vector<Stall> stalled(Instant Now);
   bool watches() const { return !m_targets.empty(); }
 
 private:
