Keep groups that send events though a member is unheard

Cause: servers that are partitioned from the coordinators but not from entry nodes lost their groups: the leader took their silence for a loss.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -287,8 +287,11 @@
     Result<FeedRequest, PeerError> Read = decodeFeedRequest(Message.m_bytes);
     if (!Read || Read.value().m_node != Message.m_from)
       return m_metrics.increment("turmericdyke_peer_messages_refused_total");
-    if (leads())
+    if (leads()) {
       onSuspects(Read.value().m_suspects);
+      for (const TargetId &Moving : Read.value().m_progressing)
+        m_progress[Moving] = Now;
+    }
     FeedUpdate Update = m_feed.answer(Now, Read.value(), feedFacts());
     // A lost answer is asked for again.
     (void)m_transport->sendTo(Message.m_fromAddress,
@@ -567,6 +570,7 @@
     Input.m_servers = &m_servers;
     Input.m_catalog = &m_catalog;
     Input.m_trafficSeen = m_feed.trafficSeen();
+    Input.m_progress = m_progress;
     for (const GroupOrder &Order : m_planner.step(Now, Input))
       sendOrder(Order);
     for (const GroupEvent &Event : m_planner.takeEvents())
@@ -637,9 +641,11 @@
       Silent.push_back(Id);
   for (const TargetId &Id : Silent)
     question(Id);
-  std::erase_if(m_questions, [this](const auto &Entry) {
+  auto Unknown = [this](const auto &Entry) {
     return m_servers.find(Entry.first) == nullptr;
-  });
+  };
+  std::erase_if(m_questions, Unknown);
+  std::erase_if(m_progress, Unknown);
 }
 
 void CoordinatorNode::onSuspects(const std::vector<TargetId> &Heads) {
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -129,6 +129,8 @@
   FeedPublisher m_feed;
   /// When each server was last asked.
   std::map<TargetId, Instant> m_questions;
+  /// When each head last sent events, as entry nodes say.
+  std::map<TargetId, Instant> m_progress;
   EventLoop::Timer m_planTimer;
   bool m_pushDue = false;
   NodeId m_knownLeader;
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -172,6 +172,7 @@
         Ask.m_request.m_demand.push_back({Model, Count});
       m_services->m_demand.clear();
       Ask.m_request.m_suspects = std::exchange(m_suspects, {});
+      Ask.m_request.m_progressing = m_services->m_stalls.takeProgress();
     }
     Ask.m_request.m_stopping = m_stopping;
     auto Sent = m_transport->sendTo(Ask.m_coordinator.str(),
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -108,6 +108,7 @@
           {"uses", internal::listJson(Message.m_uses)},
           {"demand", internal::listJson(Message.m_demand)},
           {"suspects", internal::listJson(Message.m_suspects)},
+          {"progressing", internal::listJson(Message.m_progressing)},
           {"stopping", Message.m_stopping}};
 }
 
@@ -148,6 +149,7 @@
   internal::readList(Reader, "uses", Read.m_uses);
   internal::readList(Reader, "demand", Read.m_demand);
   internal::readList(Reader, "suspects", Read.m_suspects);
+  internal::readList(Reader, "progressing", Read.m_progressing);
   return internal::finish(Reader, Read);
 }
 
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -60,6 +60,8 @@
   std::vector<ModelDemand> m_demand;
   /// Targets whose streams stand still.
   std::vector<TargetId> m_suspects;
+  /// Targets whose streams have sent something since the last request.
+  std::vector<TargetId> m_progressing;
   bool m_stopping = false;
 };
 
--- a/packages/groups/test/GroupPlannerFuzzTest.cpp
+++ b/packages/groups/test/GroupPlannerFuzzTest.cpp
@@ -123,6 +123,11 @@
     Input.m_servers = &m_directory;
     Input.m_catalog = &m_catalog;
     Input.m_trafficSeen = true;
+    // Entry nodes reach servers that are cut from the coordinators.
+    for (std::size_t At = 0; At < m_servers.size(); ++At)
+      if (m_servers.sendsEvents(At))
+        m_progress[m_servers.at(At).m_id] = m_now;
+    Input.m_progress = m_progress;
     for (const GroupOrder &Order : m_planner->step(m_now, Input))
       send(Order);
   }
@@ -145,6 +150,7 @@
   Instant m_settled;
   double m_lossRate = 0;
   std::vector<ServerModel::Late> m_late;
+  std::map<TargetId, Instant> m_progress;
   std::map<std::size_t, Instant> m_nextAnnouncement;
   std::map<std::size_t, std::optional<GroupMembership>> m_said;
 };
@@ -193,6 +199,29 @@
   }));
 }
 
+// Guards against groups that are given up though they serve: their members are
+// cut from the coordinators, not from each other or from the entry nodes.
+TEST_CASE("a group that sends events outlives the silence of its members") {
+  World W(7);
+  for (int Step = 0; Step < 400; ++Step)
+    W.step();
+  std::size_t Before = W.serving();
+  REQUIRE(Before >= 3);
+  std::uint64_t Opened = W.m_servers.opened();
+  for (std::size_t At = 0; At < W.m_servers.size(); ++At)
+    W.m_servers.at(At).m_cut = true;
+  for (int Step = 0; Step < 200; ++Step)
+    W.step();
+  CHECK(W.serving() == Before);
+  // The same silence, and a member that has died: the group sends nothing.
+  W.m_servers.kill(0);
+  for (int Step = 0; Step < 60; ++Step)
+    W.step();
+  CHECK(W.serving() == Before - 1);
+  CHECK(W.m_servers.opened() == Opened);
+  CHECK(W.m_servers.faults().empty());
+}
+
 // Guards against an oracle that sees nothing: without the wait for a head that
 // cannot be asked, the same faults must break a promise.
 TEST_CASE("without the wait for the head the faults are noticed") {
--- a/packages/groups/test/ServerModel.h
+++ b/packages/groups/test/ServerModel.h
@@ -130,6 +130,13 @@
     }
   }
 
+  /// Whether a server is the head of a whole open group, so that events flow.
+  bool sendsEvents(std::size_t Index) {
+    Server &S = m_servers[Index];
+    return S.m_alive && S.m_group && S.m_group->m_state == MemberState::Open &&
+           !missesMember(S);
+  }
+
   void kill(std::size_t Index) { m_servers[Index].m_alive = false; }
   /// Comes back under its old identifier and knows nothing of before.
   void restart(std::size_t Index) {
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -241,8 +241,23 @@
     enter(G, GroupPhase::Dissolving, "not ready in time");
 }
 
+bool GroupPlanner::isOnlyUnheard(const Group &G, const Member &M) const {
+  if (G.m_phase != GroupPhase::Serving)
+    return false;
+  auto Moved = m_input->m_progress.find(G.head());
+  if (Moved == m_input->m_progress.end() ||
+      m_now - Moved->second >= m_options.m_progressFresh)
+    return false;
+  const ServerRecord *Server = m_input->m_servers->find(M.m_id);
+  return Server != nullptr && Server->m_said.m_bornMillis == M.m_bornMillis &&
+         !Server->m_said.m_draining && Server->m_said.m_group &&
+         Server->m_said.m_group->isOf(G.m_name, G.m_epoch);
+}
+
 bool GroupPlanner::leaveIfBroken(Group &G) {
   for (const Member &M : G.m_members) {
+    if (isOnlyUnheard(G, M))
+      continue;
     MemberView View = look(G, M);
     if (View == MemberView::Lost || View == MemberView::Elsewhere) {
       enter(G, GroupPhase::Dissolving,
@@ -270,7 +285,8 @@
 void GroupPlanner::stepServing(Group &G) {
   if (leaveIfBroken(G))
     return;
-  MemberState State = present(G, G.m_members.front())->m_said.m_group->m_state;
+  MemberState State =
+      m_input->m_servers->find(G.head())->m_said.m_group->m_state;
   if (State == MemberState::Broken)
     return enter(G, GroupPhase::Dissolving, "head broke");
   if (State == MemberState::Closing)
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -74,6 +74,10 @@
   /// A member that was silent for this long counts as lost: two and a half
   /// announcement intervals of 1.2 s.
   absl::Duration m_lostAfter = absl::Seconds(3);
+  /// A group whose head sent events this recently is whole, even if a member
+  /// cannot be heard: entry nodes report four times a second, and name a head
+  /// as silent after 0.6 s.
+  absl::Duration m_progressFresh = absl::Milliseconds(900);
   /// After this time without an answer in the server's announcements an order
   /// is sent again.
   absl::Duration m_resendAfter = absl::Milliseconds(1500);
@@ -103,6 +107,9 @@
   /// Requests per second asked of each model, by model name; models that are
   /// absent count with their declared share.
   std::map<std::string, double> m_demand;
+  /// When each head last sent events to callers, as far as entry nodes have
+  /// said. A group that has lost a member sends nothing.
+  std::map<TargetId, Instant> m_progress;
   /// Loads are cheap until the first request.
   bool m_trafficSeen = false;
 };
@@ -178,6 +185,8 @@
   void stepClosing(Group &G);
   void stepDissolving(Group &G);
   bool leaveIfBroken(Group &G);
+  /// Whether the member is only unheard, and the group shows that it is there.
+  bool isOnlyUnheard(const Group &G, const Member &M) const;
   bool finished(const Group &G) const;
 
   using FreeServers =
--- a/packages/serving/turmericdyke/src/Serving/StallWatch.cpp
+++ b/packages/serving/turmericdyke/src/Serving/StallWatch.cpp
@@ -14,8 +14,16 @@
 
 void StallWatch::progressed(Instant Now, const TargetId &Target) {
   auto Found = m_targets.find(Target);
-  if (Found != m_targets.end())
-    Found->second.m_progress = Now;
+  if (Found == m_targets.end())
+    return;
+  Found->second.m_progress = Now;
+  m_progressed.insert(Target);
+}
+
+std::vector<TargetId> StallWatch::takeProgress() {
+  std::vector<TargetId> Taken(m_progressed.begin(), m_progressed.end());
+  m_progressed.clear();
+  return Taken;
 }
 
 void StallWatch::ended(const TargetId &Target) {
--- a/packages/serving/turmericdyke/src/Serving/StallWatch.h
+++ b/packages/serving/turmericdyke/src/Serving/StallWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "turmericdyke/src/Base/Instant.h"
@@ -41,6 +42,8 @@
   };
   /// The targets that stand still and were not named lately.
   std::vector<Stall> stalled(Instant Now);
+  /// The targets that have sent something since the last call.
+  std::vector<TargetId> takeProgress();
   bool watches() const { return !m_targets.empty(); }
 
 private:
@@ -52,6 +55,7 @@
 
   StallWatchOptions m_options;
   std::map<TargetId, Watched> m_targets;
+  std::set<TargetId> m_progressed;
 };
 
 } // namespace turmericdyke
