Take up open groups before a new leader's wait is over

Cause: after a change of the leader, or a power loss of all nodes, restarted entry nodes had no target for 3 s although groups were open and whole.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -563,7 +563,7 @@
   for (const TargetId &Id : m_servers.expire(Now, internal::ForgetSilence))
     LogLine(LogLevel::Info, "server_forgotten").field("target", Id);
   questionSilent();
-  if (settled() && m_catalog.m_version > 0) {
+  if (m_fence > 0 && m_catalog.m_version > 0) {
     if (!m_planner.leading())
       m_planner.lead(m_fence);
     GroupPlannerInput Input;
@@ -571,6 +571,7 @@
     Input.m_catalog = &m_catalog;
     Input.m_trafficSeen = m_feed.trafficSeen();
     Input.m_progress = m_progress;
+    Input.m_settled = settled();
     for (const GroupOrder &Order : m_planner.step(Now, Input))
       sendOrder(Order);
     for (const GroupEvent &Event : m_planner.takeEvents())
--- a/packages/groups/test/GroupPlannerFuzzTest.cpp
+++ b/packages/groups/test/GroupPlannerFuzzTest.cpp
@@ -115,11 +115,10 @@
       if (m_now >= m_nextAnnouncement[At] ||
           m_said[At] != m_servers.at(At).m_group)
         announce(At);
-    if (m_now < m_settled)
-      return;
     if (!m_planner->leading())
       m_planner->lead(m_fence);
     GroupPlannerInput Input;
+    Input.m_settled = m_now >= m_settled;
     Input.m_servers = &m_directory;
     Input.m_catalog = &m_catalog;
     Input.m_trafficSeen = true;
@@ -222,6 +221,22 @@
   CHECK(W.m_servers.faults().empty());
 }
 
+// Guards against callers that are refused after a change of the leader although
+// groups are open, and against orders before all servers have been heard.
+TEST_CASE("a new leader takes up open groups at once and orders nothing yet") {
+  World W(11);
+  for (int Step = 0; Step < 400; ++Step)
+    W.step();
+  std::size_t Before = W.serving();
+  REQUIRE(Before >= 3);
+  W.lead();
+  // Past one interval between announcements, well before the wait is over.
+  for (int Step = 0; Step < 30; ++Step)
+    W.step();
+  CHECK(W.serving() == Before);
+  CHECK(W.m_now < W.m_settled);
+}
+
 // Guards against an oracle that sees nothing: without the wait for a head that
 // cannot be asked, the same faults must break a promise.
 TEST_CASE("without the wait for the head the faults are noticed") {
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -143,6 +143,10 @@
     return Now >= Entry.second.m_until;
   });
   adoptStrays();
+  if (!Input.m_settled) {
+    m_input = nullptr;
+    return {};
+  }
   for (auto &[Epoch, G] : m_groups)
     stepGroup(G);
   std::erase_if(m_groups,
@@ -199,6 +203,8 @@
           GroupPhase::Closing, GroupPhase::Dissolving};
       Phase = PhaseOf[static_cast<std::size_t>(Head->m_said.m_group->m_state)];
     }
+    if (!m_input->m_settled && Phase != GroupPhase::Serving)
+      continue;
     Group &Taken = m_groups.emplace(Epoch, std::move(G)).first->second;
     enter(Taken, Phase, Head != nullptr ? "adopted" : "adopted in part");
   }
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -110,6 +110,9 @@
   /// When each head last sent events to callers, as far as entry nodes have
   /// said. A group that has lost a member sends nothing.
   std::map<TargetId, Instant> m_progress;
+  /// Every living server has had time to announce itself. Before that, only
+  /// groups that are whole and open are taken up, and nothing is ordered.
+  bool m_settled = true;
   /// Loads are cheap until the first request.
   bool m_trafficSeen = false;
 };
--- a/tests/live/Relay.h
+++ b/tests/live/Relay.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <thread>
 
-#include "turmericdyke/src/Peer/Sockets.h"
+#include "turmericdyke/src/Loop/Sockets.h"
 
 /// Passes bytes from nodes to the peer address of another node. Bytes from and
 /// to a node that is cut off wait, on connections that exist and on new ones;
