--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,9 @@
 lint: build
 	$(MAKE) -j 7 --output-sync lint-stamps
 
-check: format-check lint test
+# The tests wait more than they compute, so the linter runs beside them.
+check: format-check build
+	$(MAKE) -j 2 lint test
 
 bench: build
 	$(BUILD)/bench/turmericdyke_bench
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -48,6 +48,9 @@
 /// under way.
 constexpr absl::Duration StopWait = absl::Seconds(2);
 constexpr absl::Duration StopPoll = absl::Milliseconds(50);
+/// A full or failing disk seldom recovers within a second; a process that ends
+/// and starts at once would only do so again and again.
+constexpr absl::Duration StorageRestartDelay = absl::Seconds(4);
 
 std::string_view nameOf(RaftEventKind Kind) {
   constexpr std::string_view Names[] = {"leadership_gained", "leadership_lost",
@@ -225,12 +228,15 @@
 
 void CoordinatorNode::turn() {
   m_driver->turn();
-  if (m_driver->storageFailed() && !m_stopping) {
-    // A restart reads the directory again; the other voters go on meanwhile.
-    LogLine(LogLevel::Error, "coordinator_ends").field("reason", "storage");
-    m_stopping = true;
-    m_loop.stop();
-  }
+  if (!m_driver->storageFailed() || m_storageFailed)
+    return;
+  // The core takes no part any more; a restart reads the directory again.
+  m_storageFailed = true;
+  LogLine(LogLevel::Error, "coordinator_ends")
+      .field("reason", "storage")
+      .field("after_ms",
+             absl::ToInt64Milliseconds(internal::StorageRestartDelay));
+  m_loop.after(internal::StorageRestartDelay, [this] { m_loop.stop(); });
 }
 
 void CoordinatorNode::deliver(const ControlOutput &Output) {
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -135,6 +135,7 @@
   bool m_pushDue = false;
   NodeId m_knownLeader;
 
+  bool m_storageFailed = false;
   bool m_stopping = false;
   Instant m_stopBegun = absl::InfiniteFuture();
 };
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -200,6 +200,7 @@
   ++m_services.m_uses[Target.m_id];
   m_services.m_attempts[Target.m_id].insert(this);
   m_progressed = false;
+  m_staleConnection = false;
   m_watched = m_route->m_kind == RouteKind::Stream;
   if (m_watched)
     m_services.m_stalls.begun(m_attemptBegun, Target.m_id);
@@ -310,6 +311,12 @@
 
 void EntryExchange::onCallEnd(ClientEnd End) {
   AttemptEnding Ending = endingOf(End);
+  // A kept connection that its server had closed says nothing about the server:
+  // it may be tried again, and is not avoided.
+  m_staleConnection = End == ClientEnd::Broken && !m_headSeen && m_connection &&
+                      m_connection->calls() > 1;
+  if (m_staleConnection)
+    m_tried.erase(m_target.m_id);
   endAttempt(End == ClientEnd::Complete && !m_invalid);
   settle(Ending);
 }
@@ -331,11 +338,13 @@
 
 void EntryExchange::settle(AttemptEnding Ending) {
   Instant Now = monotonicNow();
-  if (Ending == AttemptEnding::NotSent || Ending == AttemptEnding::Lost)
+  bool Failed = Ending == AttemptEnding::NotSent ||
+                (Ending == AttemptEnding::Lost && !m_staleConnection);
+  if (Failed)
     m_services.m_health.failed(Now, m_target.m_id);
   else if (Ending == AttemptEnding::Answered)
     m_services.m_health.succeeded(m_target.m_id);
-  if (Ending == AttemptEnding::NotSent)
+  if (Ending == AttemptEnding::NotSent || m_staleConnection)
     m_services.m_pool.drop(m_target.m_address);
   if (m_done)
     return;
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -91,6 +91,8 @@
   bool m_invalid = false;
   /// The present attempt has passed on an event.
   bool m_progressed = false;
+  /// The present attempt met the end of a kept connection.
+  bool m_staleConnection = false;
   /// The present attempt counts in the watch for stalls.
   bool m_watched = false;
   std::string m_body;
