Let groups of leaving members finish; keep streams of targets that close

Change: a withdrawn server counts as draining until it is silent, so its group closes; a node moves streams of a target that left the feed only once they have been silent for 0.4 s.

--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -241,7 +241,7 @@
         .field("running_here", m_services->m_uses.count(Ended) > 0
                                    ? m_services->m_uses.at(Ended)
                                    : 0);
-    moveRequests(Ended);
+    m_services->m_stalls.closedToNew(Ended);
   }
   noteInformed();
   if (m_feed->nextTick() <= Now)
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
@@ -69,12 +69,14 @@
 }
 
 bool ServerDirectory::withdraw(Instant Now, const TargetId &Id) {
-  const ServerRecord *Known = find(Id);
-  if (Known == nullptr)
+  auto Found = m_servers.find(Id);
+  if (Found == m_servers.end())
     return false;
-  m_departed[Id] = {Known->m_said.m_bornMillis, Now};
-  m_byAddress.erase(Known->m_said.m_address);
-  m_servers.erase(Id);
+  ServerRecord &Record = Found->second;
+  m_departed[Id] = {Record.m_said.m_bornMillis, Now};
+  // It goes on with what it has for some seconds, so it is not gone yet.
+  Record.m_said.m_draining = true;
+  Record.m_lastHeard = Now;
   return true;
 }
 
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -44,8 +44,9 @@
 class ServerDirectory {
 public:
   AnnouncementResult announce(Instant Now, const ServerAnnouncement &Value);
-  /// The server says that it ends. Late announcements of the same life are
-  /// stale from now on. Returns whether the server was known.
+  /// The server says that it ends: it counts as draining, and is forgotten once
+  /// it is silent. Late announcements of the same life are stale from now on.
+  /// Returns whether the server was known.
   bool withdraw(Instant Now, const TargetId &Id);
   /// A server answered a question of this node, or did not. A refused
   /// connection shows at once that nobody is there.
@@ -55,7 +56,7 @@
   std::vector<TargetId> expire(Instant Now, absl::Duration SilentFor);
   void clear();
 
-  /// Null if the server is unknown, withdrawn or forgotten.
+  /// Null if the server is unknown or forgotten.
   const ServerRecord *find(const TargetId &Id) const;
   const std::map<TargetId, ServerRecord> &all() const { return m_servers; }
 
--- a/packages/serving/test/ServingTest.cpp
+++ b/packages/serving/test/ServingTest.cpp
@@ -224,3 +224,21 @@
   CHECK(Watch.stalled(Later + absl::Seconds(5)).empty());
   CHECK_FALSE(Watch.watches());
 }
+
+// Guards against streams that are cut because their target leaves in order: it
+// takes nothing new and finishes what it has.
+TEST_CASE("a target closed to new requests keeps its streams while they move") {
+  StallWatch Watch;
+  TargetId Id("a");
+  Watch.begun(Start, Id);
+  Watch.closedToNew(Id);
+  Instant Now = Start;
+  for (int Event = 0; Event < 40; ++Event) {
+    Now += absl::Milliseconds(100);
+    Watch.progressed(Now, Id);
+    CHECK(Watch.stalled(Now).empty());
+  }
+  auto Named = Watch.stalled(Now + absl::Milliseconds(450));
+  REQUIRE(Named.size() == 1);
+  CHECK(Named[0].m_abandon);
+}
--- a/packages/serving/turmericdyke/src/Serving/StallWatch.cpp
+++ b/packages/serving/turmericdyke/src/Serving/StallWatch.cpp
@@ -32,15 +32,30 @@
     m_targets.erase(Found);
 }
 
+void StallWatch::closedToNew(const TargetId &Target) {
+  auto Found = m_targets.find(Target);
+  if (Found != m_targets.end())
+    Found->second.m_closedToNew = true;
+}
+
+bool StallWatch::mayAbandon(Instant Now, const Watched &State) const {
+  return Now - State.m_progress >= (State.m_closedToNew
+                                        ? m_options.m_abandonEndedAfter
+                                        : m_options.m_abandonAfter);
+}
+
 std::vector<StallWatch::Stall> StallWatch::stalled(Instant Now) {
   std::vector<Stall> Named;
   for (auto &[Target, State] : m_targets) {
-    if (Now - State.m_progress < m_options.m_silence ||
-        Now - State.m_named < m_options.m_repeatAfter)
+    bool Abandon = mayAbandon(Now, State);
+    bool Silent = Now - State.m_progress >= m_options.m_silence;
+    // What can be moved is not left until the target is named again.
+    bool Again = Now - State.m_named >= m_options.m_repeatAfter ||
+                 (Abandon && State.m_closedToNew);
+    if (!(Silent || Abandon) || !Again)
       continue;
     State.m_named = Now;
-    Named.push_back(
-        {Target, Now - State.m_progress >= m_options.m_abandonAfter});
+    Named.push_back({Target, Abandon});
   }
   return Named;
 }
--- a/packages/serving/turmericdyke/src/Serving/StallWatch.h
+++ b/packages/serving/turmericdyke/src/Serving/StallWatch.h
@@ -17,6 +17,10 @@
   /// After this long the streams are worth more at another target, whether or
   /// not a coordinator can say what is wrong.
   absl::Duration m_abandonAfter = absl::Milliseconds(1200);
+  /// The same for a target that takes no new requests any more. One that leaves
+  /// or closes goes on sending and keeps its streams; one that has lost a
+  /// member is silent by then.
+  absl::Duration m_abandonEndedAfter = absl::Milliseconds(400);
   /// A target is named again after this time if it still stands still.
   absl::Duration m_repeatAfter = absl::Milliseconds(400);
 };
@@ -32,6 +36,8 @@
   void begun(Instant Now, const TargetId &Target);
   /// Any stream of the target has sent something.
   void progressed(Instant Now, const TargetId &Target);
+  /// The target takes no new requests any more.
+  void closedToNew(const TargetId &Target);
   /// A stream has ended.
   void ended(const TargetId &Target);
 
@@ -47,10 +53,14 @@
   bool watches() const { return !m_targets.empty(); }
 
 private:
+  struct Watched;
+  bool mayAbandon(Instant Now, const Watched &State) const;
+
   struct Watched {
     int m_streams = 0;
     Instant m_progress;
     Instant m_named = absl::InfinitePast();
+    bool m_closedToNew = false;
   };
 
   StallWatchOptions m_options;
