Fetch weights before servers join groups, and keep track of models in memory

Groups were formed with members that had to load for 12 to 16 s ("2 members, 1 loads" in group_phase) and held up the others; up to 12 loads ran at once where the store serves 7 at full speed. A new leader did not know which model an idle server still holds in memory, because a server in no group does not say so, and a join gives up the second copy on the host for good.

Ruled out: too few servers (an idle server announces its copies; see server_changed, which now logs them), and the order of repairs.

Change: WeightStager decides which hosts fetch weights, idle ones first, within what the store serves at full speed; groups form without loads once requests run. The directory remembers the model in memory of each life. Small groups form in fabric domains where no room for a large one is lost. ModelBalance holds the supply of models.

Groups that close for a leaving member, and 4 s without a repair after each change of the leader, are the next causes.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "absl/strings/str_join.h"
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Base/LogSink.h"
@@ -475,7 +476,9 @@
         .field("group", Said.m_group ? Said.m_group->m_group : "")
         .field("state", Said.m_group
                             ? turmericdyke::nameOf(Said.m_group->m_state)
-                            : "none");
+                            : "none")
+        .field("model", Said.m_model)
+        .field("staged", absl::StrJoin(Said.m_stagedModels, ","));
     planSoon();
     if (Said.m_draining)
       plan();
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
@@ -21,6 +22,18 @@
 /// must not move the balance back and forth.
 constexpr double MostOversupply = 1.5;
 
+/// How many groups of larger models a fabric domain with `Free` servers has
+/// room for no more once a group of `Model` has taken its part.
+std::size_t largerGroupsLost(const EngineCosts &Engine,
+                             const EngineModel &Model, std::size_t Free) {
+  std::size_t Lost = 0;
+  for (const EngineModel &Other : Engine.m_models)
+    if (Other.m_members > Model.m_members)
+      Lost +=
+          Free / Other.m_members - (Free - Model.m_members) / Other.m_members;
+  return Lost;
+}
+
 } // namespace
 } // namespace internal
 
@@ -121,6 +134,8 @@
 
 void GroupPlanner::answered(Instant Now, const GroupOrder &Order,
                             OrderAnswer Answer) {
+  if (Order.m_kind == GroupOrderKind::Stage)
+    return m_stager.answered(Now, Order.m_target, Answer);
   auto Found = m_groups.find(Order.m_epoch);
   if (Found == m_groups.end())
     return;
@@ -188,9 +203,6 @@
         G.m_members.resize(Rank + 1);
       G.m_members[Rank].m_id = Server->m_said.m_id;
       G.m_members[Rank].m_bornMillis = Server->m_said.m_bornMillis;
-      if (Server->m_said.m_group->m_state != MemberState::Joining)
-        m_inMemory[Server->m_said.m_id] = {Server->m_said.m_bornMillis,
-                                           First.m_model};
     }
     bool Whole = Model != nullptr && G.m_members.size() == Model->m_members &&
                  Servers.size() == Model->m_members;
@@ -234,8 +246,6 @@
     const ServerRecord *Server = present(G, M);
     bool Ready = Server != nullptr &&
                  Server->m_said.m_group->m_state != MemberState::Joining;
-    if (Ready)
-      m_inMemory[M.m_id] = {M.m_bornMillis, G.m_model};
     AllReady = AllReady && Ready;
   }
   if (AllReady) {
@@ -372,69 +382,36 @@
   return Free;
 }
 
-double GroupPlanner::supplyRatio(const ServiceEntry &Service,
-                                 const EngineModel &Model) const {
-  double Supply = 0;
-  for (const auto &[Epoch, G] : m_groups)
-    if (G.m_service == Service.m_id && G.m_model == Model.m_name &&
-        G.m_phase <= GroupPhase::Serving)
-      Supply += static_cast<double>(G.m_members.size());
-  auto Asked = m_input->m_demand.find(Model.m_name);
-  double Demand =
-      Asked == m_input->m_demand.end() ? Model.m_share : Asked->second;
+ModelBalance GroupPlanner::balance(const ServiceEntry &Service) const {
+  ModelBalance Balance(*Service.m_engine, m_input->m_demand);
+  for (const auto &[Epoch, G] : m_groups) {
+    const EngineModel *Model = G.m_service == Service.m_id
+                                   ? Service.m_engine->model(G.m_model)
+                                   : nullptr;
+    if (Model != nullptr && G.m_phase <= GroupPhase::Serving)
+      Balance.add(*Model, G.m_members.size());
+  }
   for (const auto &[Domain, Held] : m_reserved)
-    if (Held.m_model == Model.m_name)
-      Supply += static_cast<double>(Model.m_members);
-  constexpr double LeastDemand = 1e-3;
-  return Supply / std::max(Demand, LeastDemand);
+    if (const EngineModel *Model = Service.m_engine->model(Held.m_model))
+      Balance.add(*Model, Model->m_members);
+  return Balance;
 }
 
 const EngineModel *
 GroupPlanner::neediest(const ServiceEntry &Service,
                        const std::set<std::string> &Without) const {
-  const EngineModel *Best = nullptr;
-  double Least = 0;
-  double LeastOfAll = -1;
-  for (const EngineModel &Model : Service.m_engine->m_models) {
-    double Ratio = supplyRatio(Service, Model);
-    if (LeastOfAll < 0 || Ratio < LeastOfAll)
-      LeastOfAll = Ratio;
-    if (Without.count(Model.m_name) > 0)
-      continue;
-    if (Best == nullptr || Ratio < Least) {
-      Best = &Model;
-      Least = Ratio;
-    }
-  }
-  if (Best != nullptr && LeastOfAll > 0 &&
-      Least > LeastOfAll * internal::MostOversupply)
+  ModelBalance Balance = balance(Service);
+  std::vector<const EngineModel *> ByNeed = Balance.byNeed();
+  auto Best =
+      std::find_if(ByNeed.begin(), ByNeed.end(), [&](const EngineModel *Model) {
+        return Without.count(Model->m_name) == 0;
+      });
+  if (Best == ByNeed.end())
     return nullptr;
-  return Best;
-}
-
-bool GroupPlanner::holdsWeights(const ServerRecord &Server,
-                                std::string_view Model) const {
-  const ServerAnnouncement &Said = Server.m_said;
-  const std::vector<std::string> &Staged = Said.m_stagedModels;
-  if (std::find(Staged.begin(), Staged.end(), Model) != Staged.end())
-    return true;
-  auto Last = m_inMemory.find(Said.m_id);
-  return Last != m_inMemory.end() && Last->second.first == Said.m_bornMillis &&
-         Last->second.second == Model;
-}
-
-std::int64_t GroupPlanner::loadsRunning() const {
-  std::int64_t Running = 0;
-  for (const auto &[Epoch, G] : m_groups) {
-    if (G.m_phase != GroupPhase::Forming)
-      continue;
-    for (const Member &M : G.m_members) {
-      const ServerRecord *Server = m_input->m_servers->find(M.m_id);
-      if (Server != nullptr && !holdsWeights(*Server, G.m_model))
-        ++Running;
-    }
-  }
-  return Running;
+  double Least = Balance.ratio(*ByNeed.front());
+  if (Least > 0 && Balance.ratio(**Best) > Least * internal::MostOversupply)
+    return nullptr;
+  return *Best;
 }
 
 void GroupPlanner::formGroups(const ServiceEntry &Service) {
@@ -447,45 +424,39 @@
       borrowFor(Service, *Model, Free);
     Without.insert(Model->m_name);
   }
-  stageSpares(Service, Free);
-  if (!m_input->m_trafficSeen)
-    stageSecondModels(Service);
+  stageWeights(Service, Free);
 }
 
-void GroupPlanner::stage(const ServerRecord &Server, const EngineModel &Model) {
-  m_staging[Server.m_said.m_id] = m_now;
-  GroupOrder Order;
-  Order.m_kind = GroupOrderKind::Stage;
-  Order.m_target = Server.m_said.m_id;
-  Order.m_address = Server.m_said.m_address;
-  Order.m_model = Model.m_name;
-  m_orders.push_back(std::move(Order));
-}
-
-void GroupPlanner::stageSecondModels(const ServiceEntry &Service) {
-  for (const auto &[Epoch, G] : m_groups) {
-    if (G.m_phase != GroupPhase::Serving || G.m_service != Service.m_id)
-      continue;
-    const EngineModel *Second = nullptr;
-    for (const EngineModel &Model : Service.m_engine->m_models)
-      if (Model.m_name != G.m_model &&
-          (Second == nullptr || Model.m_members > Second->m_members))
-        Second = &Model;
-    if (Second == nullptr)
-      return;
-    for (const Member &M : G.m_members) {
-      const ServerRecord *Server = present(G, M);
-      if (Server != nullptr && !holdsWeights(*Server, Second->m_name) &&
-          m_staging.count(M.m_id) == 0)
-        stage(*Server, *Second);
-    }
+void GroupPlanner::stageWeights(const ServiceEntry &Service,
+                                const FreeServers &Free) {
+  StagingInput Input{&Service, m_input->m_servers, Free,
+                     {},       balance(Service),   m_input->m_trafficSeen};
+  std::vector<const Group *> Serving;
+  for (const auto &[Epoch, G] : m_groups)
+    if (G.m_phase == GroupPhase::Serving && G.m_service == Service.m_id)
+      Serving.push_back(&G);
+  std::stable_sort(Serving.begin(), Serving.end(),
+                   [](const Group *A, const Group *B) {
+                     return A->m_members.size() > B->m_members.size();
+                   });
+  for (const Group *G : Serving)
+    for (const Member &M : G->m_members)
+      if (const ServerRecord *Server = present(*G, M))
+        Input.m_serving.push_back(Server);
+  for (const StagingOrder &Fetch : m_stager.choose(m_now, Input)) {
+    GroupOrder Order;
+    Order.m_kind = GroupOrderKind::Stage;
+    Order.m_target = Fetch.m_server->m_said.m_id;
+    Order.m_address = Fetch.m_server->m_said.m_address;
+    Order.m_model = Fetch.m_model->m_name;
+    m_orders.push_back(std::move(Order));
   }
 }
 
 bool GroupPlanner::eatsSpares(const ServiceEntry &Service,
                               const EngineModel &Model, const FreeServers &Free,
-                              std::int64_t Warm) const {
-  if (Warm + 1 >= static_cast<std::int64_t>(Model.m_members))
+                              std::int64_t Loads) const {
+  if (Loads <= 1)
     return false;
   std::size_t Servers = 0;
   for (const auto &[Id, Server] : m_input->m_servers->all())
@@ -508,10 +479,10 @@
   auto Here = Free.find(Domain);
   if (Here != Free.end())
     for (const ServerRecord *Server : Here->second)
-      Warm += holdsWeights(*Server, Model.m_name) ? 1 : 0;
+      Warm += Server->holdsWeights(Model.m_name) ? 1 : 0;
   for (const Member &M : Closed.m_members) {
     const ServerRecord *Server = present(Closed, M);
-    Warm += Server != nullptr && holdsWeights(*Server, Model.m_name) ? 1 : 0;
+    Warm += Server != nullptr && Server->holdsWeights(Model.m_name) ? 1 : 0;
   }
   return Warm;
 }
@@ -522,13 +493,13 @@
   Group *Best = nullptr;
   std::size_t MostWarm = 0;
   FabricDomainId BestDomain;
+  ModelBalance Balance = balance(Service);
   for (auto &[Epoch, G] : m_groups) {
     const EngineModel *Other = Service.m_engine->model(G.m_model);
     if (G.m_phase != GroupPhase::Serving || G.m_service != Service.m_id ||
         Other == nullptr || Other == &Model)
       continue;
-    if (supplyRatio(Service, *Other) <
-        supplyRatio(Service, Model) * internal::MostOversupply)
+    if (Balance.ratio(*Other) < Balance.ratio(Model) * internal::MostOversupply)
       continue;
     const ServerRecord *Head = m_input->m_servers->find(G.head());
     if (Head == nullptr || m_reserved.count(Head->m_said.m_fabricDomain) > 0)
@@ -547,58 +518,11 @@
         fmt::format("servers for a group of {}", Model.m_name));
 }
 
-const EngineModel *
-GroupPlanner::modelToStage(const ServiceEntry &Service,
-                           const FabricDomainId &Domain) const {
-  // The largest groups of the domain are the ones that a spare repairs most
-  // often, and the hardest to form anew.
-  const EngineModel *Best = nullptr;
-  for (const auto &[Epoch, G] : m_groups) {
-    const ServerRecord *Head = m_input->m_servers->find(G.head());
-    if (Head == nullptr || Head->m_said.m_fabricDomain != Domain)
-      continue;
-    const EngineModel *Model = Service.m_engine->model(G.m_model);
-    if (Model != nullptr &&
-        (Best == nullptr || Model->m_members > Best->m_members))
-      Best = Model;
-  }
-  return Best;
-}
-
-void GroupPlanner::stageSpares(const ServiceEntry &Service,
-                               const FreeServers &Free) {
-  std::int64_t Running = loadsRunning();
-  for (const auto &[Domain, Servers] : Free) {
-    const EngineModel *Model = modelToStage(Service, Domain);
-    if (Model == nullptr)
-      continue;
-    for (const ServerRecord *Server : Servers) {
-      const ServerAnnouncement &Said = Server->m_said;
-      if (!Said.m_stagedModels.empty() || Said.m_group)
-        continue;
-      auto [Told, New] = m_staging.try_emplace(Said.m_id, absl::InfinitePast());
-      if (m_now - Told->second < Model->m_loadTime + m_options.m_formingSlack)
-        continue;
-      if (m_input->m_trafficSeen &&
-          (Running >= Service.m_engine->m_loadsAtOnce ||
-           !m_pacer.tryTake(m_now, 1)))
-        return;
-      ++Running;
-      stage(*Server, *Model);
-    }
-  }
-  auto Unknown = [this](const auto &Entry) {
-    return m_input->m_servers->find(Entry.first) == nullptr;
-  };
-  std::erase_if(m_staging, Unknown);
-  std::erase_if(m_inMemory, Unknown);
-}
-
 bool GroupPlanner::formOne(const ServiceEntry &Service,
                            const EngineModel &Model, FreeServers &Free) {
   std::vector<const ServerRecord *> *Best = nullptr;
   FabricDomainId BestDomain;
-  std::pair<std::int64_t, std::size_t> BestScore;
+  std::tuple<std::int64_t, std::size_t, std::size_t> BestScore;
   for (auto &[Domain, Servers] : Free) {
     if (Servers.size() < Model.m_members)
       continue;
@@ -607,33 +531,36 @@
       continue;
     std::int64_t Warm = std::count_if(
         Servers.begin(), Servers.end(), [&](const ServerRecord *Server) {
-          return holdsWeights(*Server, Model.m_name);
+          return Server->holdsWeights(Model.m_name);
         });
     Warm = std::min<std::int64_t>(Warm,
                                   static_cast<std::int64_t>(Model.m_members));
-    // Most copies at hand first, then the domain that is left with the fewest
-    // free servers.
-    std::pair Score{-Warm, Servers.size()};
+    // Most copies at hand first, then the domain where room for the fewest
+    // larger groups is lost, then the one with the fewest free servers.
+    std::tuple Score{
+        -Warm,
+        internal::largerGroupsLost(*Service.m_engine, Model, Servers.size()),
+        Servers.size()};
     if (Best == nullptr || Score < BestScore) {
       Best = &Servers;
       BestDomain = Domain;
       BestScore = Score;
     }
   }
-  if (Best == nullptr || eatsSpares(Service, Model, Free, -BestScore.first))
+  if (Best == nullptr)
+    return false;
+  std::int64_t Loads =
+      static_cast<std::int64_t>(Model.m_members) + std::get<0>(BestScore);
+  // A member that loads holds up the others. While requests run, servers fetch
+  // weights before they join.
+  if (Loads > 0 &&
+      (m_input->m_trafficSeen || eatsSpares(Service, Model, Free, Loads)))
     return false;
   std::stable_sort(Best->begin(), Best->end(),
                    [&](const ServerRecord *A, const ServerRecord *B) {
-                     return holdsWeights(*A, Model.m_name) >
-                            holdsWeights(*B, Model.m_name);
+                     return A->holdsWeights(Model.m_name) >
+                            B->holdsWeights(Model.m_name);
                    });
-  double Loads = static_cast<double>(Model.m_members) +
-                 static_cast<double>(BestScore.first);
-  m_pacer.setRate(Service.m_engine->m_loadsPerSecond);
-  if (Loads > 0 && m_input->m_trafficSeen &&
-      (loadsRunning() >= Service.m_engine->m_loadsAtOnce ||
-       !m_pacer.tryTake(m_now, Loads)))
-    return false;
   m_reserved.erase(BestDomain);
   Group G;
   G.m_epoch = m_nextEpoch++;
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -10,8 +10,8 @@
 
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Catalog/Catalog.h"
-#include "turmericdyke/src/Groups/LoadPacer.h"
 #include "turmericdyke/src/Groups/ServerDirectory.h"
+#include "turmericdyke/src/Groups/WeightStager.h"
 
 namespace turmericdyke {
 
@@ -199,39 +199,29 @@
   void formGroups(const ServiceEntry &Service);
   const EngineModel *neediest(const ServiceEntry &Service,
                               const std::set<std::string> &Without) const;
-  double supplyRatio(const ServiceEntry &Service,
-                     const EngineModel &Model) const;
+  /// Servers of each model in groups that serve or will.
+  ModelBalance balance(const ServiceEntry &Service) const;
   bool formOne(const ServiceEntry &Service, const EngineModel &Model,
                FreeServers &Free);
   /// Whether forming a group would use up the spares without repairing one.
   bool eatsSpares(const ServiceEntry &Service, const EngineModel &Model,
-                  const FreeServers &Free, std::int64_t Warm) const;
+                  const FreeServers &Free, std::int64_t Loads) const;
   /// Closes a group of a better supplied model where its members and the free
   /// servers of its fabric domain then suffice for a group of `Model`.
   void borrowFor(const ServiceEntry &Service, const EngineModel &Model,
                  const FreeServers &Free);
-  void stageSpares(const ServiceEntry &Service, const FreeServers &Free);
-  /// Before the first request, puts a second model on the hosts of groups that
-  /// serve: their members keep their own model in memory and can then join a
-  /// group of either within seconds.
-  void stageSecondModels(const ServiceEntry &Service);
-  void stage(const ServerRecord &Server, const EngineModel &Model);
-  /// Whether a server can join a group of the model without a load.
-  bool holdsWeights(const ServerRecord &Server, std::string_view Model) const;
+  void stageWeights(const ServiceEntry &Service, const FreeServers &Free);
   /// Servers of the domain that could join a group of the model without a load:
   /// free ones and the members of `Closed`.
   std::size_t warmServers(const EngineModel &Model, const FreeServers &Free,
                           const FabricDomainId &Domain,
                           const Group &Closed) const;
-  const EngineModel *modelToStage(const ServiceEntry &Service,
-                                  const FabricDomainId &Domain) const;
-  std::int64_t loadsRunning() const;
 
   GroupPlannerOptions m_options;
   std::uint64_t m_fence = 0;
   std::uint64_t m_nextEpoch = 0;
   std::map<std::uint64_t, Group> m_groups;
-  LoadPacer m_pacer;
+  WeightStager m_stager;
   /// A fabric domain where a group was closed for one of another model. The
   /// servers that come free are not given back to the model that gave them up.
   struct Reservation {
@@ -239,11 +229,6 @@
     Instant m_until;
   };
   std::map<FabricDomainId, Reservation> m_reserved;
-  /// The model that each life of a server was last ready with; it stays in
-  /// memory.
-  std::map<TargetId, std::pair<std::int64_t, std::string>> m_inMemory;
-  /// When each server was told to fetch weights.
-  std::map<TargetId, Instant> m_staging;
   std::vector<GroupEvent> m_events;
 
   // Of the present step.
--- /dev/null
+++ b/packages/groups/turmericdyke/src/Groups/ModelBalance.cpp
@@ -0,0 +1,46 @@
+#include "turmericdyke/src/Groups/ModelBalance.h"
+
+#include <algorithm>
+
+#include "turmericdyke/src/Catalog/Catalog.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+/// Stands for a demand of zero, so that ratios stay finite.
+constexpr double LeastDemand = 1e-3;
+
+} // namespace
+} // namespace internal
+
+ModelBalance::ModelBalance(const EngineCosts &Engine,
+                           const std::map<std::string, double> &Demand) {
+  for (const EngineModel &Model : Engine.m_models) {
+    auto Asked = Demand.find(Model.m_name);
+    double Value = Asked == Demand.end() ? Model.m_share : Asked->second;
+    m_models.push_back(&Model);
+    m_entries[Model.m_name].m_demand = std::max(Value, internal::LeastDemand);
+  }
+}
+
+void ModelBalance::add(const EngineModel &Model, std::size_t Servers) {
+  m_entries[Model.m_name].m_servers += static_cast<double>(Servers);
+}
+
+double ModelBalance::ratio(const EngineModel &Model) const {
+  const Entry &State = m_entries.at(Model.m_name);
+  return State.m_servers / State.m_demand;
+}
+
+std::vector<const EngineModel *> ModelBalance::byNeed() const {
+  std::vector<const EngineModel *> Ordered = m_models;
+  std::stable_sort(Ordered.begin(), Ordered.end(),
+                   [this](const EngineModel *A, const EngineModel *B) {
+                     return ratio(*A) < ratio(*B);
+                   });
+  return Ordered;
+}
+
+} // namespace turmericdyke
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
@@ -1,5 +1,7 @@
 #include "turmericdyke/src/Groups/ServerDirectory.h"
 
+#include <algorithm>
+
 namespace turmericdyke {
 
 namespace internal {
@@ -24,6 +26,12 @@
   return Names[static_cast<std::size_t>(State)];
 }
 
+bool ServerRecord::holdsWeights(std::string_view Model) const {
+  const std::vector<std::string> &Staged = m_said.m_stagedModels;
+  return m_modelInMemory == Model ||
+         std::find(Staged.begin(), Staged.end(), Model) != Staged.end();
+}
+
 bool ServerDirectory::isStale(const ServerAnnouncement &Value) const {
   auto Gone = m_departed.find(Value.m_id);
   if (Gone != m_departed.end() &&
@@ -60,9 +68,11 @@
   auto [At, New] = m_servers.try_emplace(Value.m_id);
   ServerRecord &Record = At->second;
   bool Same = !New && internal::saysTheSame(Record.m_said, Value);
-  if (New || Record.m_said.m_bornMillis != Value.m_bornMillis)
-    Record.m_firstHeard = Now;
+  if (Record.m_said.m_bornMillis != Value.m_bornMillis)
+    Record.m_modelInMemory.clear();
   Record.m_said = Value;
+  if (Value.m_group && Value.m_group->m_state != MemberState::Joining)
+    Record.m_modelInMemory = Value.m_model;
   Record.m_lastHeard = Now;
   Record.m_unanswered = 0;
   return Same ? AnnouncementResult::Unchanged : AnnouncementResult::Changed;
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "turmericdyke/src/Base/Instant.h"
@@ -18,7 +19,10 @@
 
   ServerAnnouncement m_said;
   Instant m_lastHeard = absl::InfinitePast();
-  Instant m_firstHeard = absl::InfinitePast();
+  /// The model that this life was last ready with. It stays in memory: the
+  /// server can be ready with it again at once, but does not say so while it is
+  /// in no group.
+  std::string m_modelInMemory;
   /// Questions in a row that it did not answer, since it was last heard.
   int m_unanswered = 0;
 
@@ -26,6 +30,10 @@
   bool isLost(Instant Now, absl::Duration SilentFor) const {
     return Now - m_lastHeard >= SilentFor || m_unanswered >= EnoughFailures;
   }
+
+  /// Whether it can join a group of the model without a load from the weight
+  /// store.
+  bool holdsWeights(std::string_view Model) const;
 };
 
 enum class AnnouncementResult {
