Let idle servers with weights always serve; make room for large groups

The large model stayed at 4 of 8 groups, because one small group alone has too few servers for a large one.

Ruled out: missing weights (server_changed shows them), loads (2 of 7 ran).

Change: groups of any model form out of idle servers that hold it, the worst supplied model first; for a short model several groups of others on one fabric are closed together where they hold its weights, as long as they stay ahead.

--- a/packages/groups/test/WeightStagerTest.cpp
+++ b/packages/groups/test/WeightStagerTest.cpp
@@ -167,3 +167,42 @@
   CHECK(Groups["large"] == 3);
   CHECK(Groups["small"] == 4);
 }
+
+// Guards against servers that stand idle with the weights in place because
+// their model is better supplied than one that they cannot serve.
+TEST_CASE("idle servers with weights serve, whichever model is short") {
+  Domain D;
+  for (int Index = 0; Index < 6; ++Index)
+    D.idle(Index, {"small"});
+  CHECK(Domain::count(D.step(), GroupOrderKind::Join, "small") == 6);
+}
+
+// Guards against a large model that stays short while groups of a small one on
+// the same fabric hold its weights: one of them alone has too few servers.
+TEST_CASE("several small groups make room for a large one") {
+  Domain D;
+  for (int Index = 0; Index < 8; ++Index) {
+    ServerAnnouncement Said = D.said(Index);
+    Said.m_stagedModels = {"large"};
+    Said.m_model = "small";
+    std::uint64_t Epoch = static_cast<std::uint64_t>(7 + Index / 2);
+    Said.m_group = GroupMembership{fmt::format("g{}", Epoch), Epoch, Index % 2,
+                                   Index % 2 == 0 ? MemberState::Open
+                                                  : MemberState::Ready};
+    D.m_servers.announce(D.m_now, Said);
+  }
+  std::vector<GroupOrder> Orders = D.step();
+  if (Orders.empty())
+    Orders = D.step();
+  std::size_t Closing = 0;
+  for (const auto &[Epoch, G] : D.m_planner.groups())
+    Closing += G.m_phase == GroupPhase::Closing ? 1 : 0;
+  CHECK(Closing == 2);
+  for (int Step = 0; Step < 5; ++Step)
+    D.step();
+  // Half of the servers stay with the small model: it must not be short then.
+  Closing = 0;
+  for (const auto &[Epoch, G] : D.m_planner.groups())
+    Closing += G.m_phase == GroupPhase::Closing ? 1 : 0;
+  CHECK(Closing == 2);
+}
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -17,9 +17,9 @@
 /// the largest integer that every JSON reader keeps exact.
 constexpr int EpochBits = 20;
 
-/// A model gets no further group once it has this many times the supply of the
-/// neediest one, and gives one up for it: a group of two servers more or less
-/// must not move the balance back and forth.
+/// A model gives up groups for the neediest one once it has this many times its
+/// supply: a group of two servers more or less must not move the balance back
+/// and forth.
 constexpr double MostOversupply = 1.3;
 
 /// How many groups of larger models a fabric domain with `Free` servers has
@@ -397,33 +397,20 @@
   return Balance;
 }
 
-const EngineModel *
-GroupPlanner::neediest(const ServiceEntry &Service,
-                       const std::set<std::string> &Without) const {
-  ModelBalance Balance = balance(Service);
-  std::vector<const EngineModel *> ByNeed = Balance.byNeed();
-  auto Best =
-      std::find_if(ByNeed.begin(), ByNeed.end(), [&](const EngineModel *Model) {
-        return Without.count(Model->m_name) == 0;
-      });
-  if (Best == ByNeed.end())
-    return nullptr;
-  double Least = Balance.ratio(*ByNeed.front());
-  if (Least > 0 && Balance.ratio(**Best) > Least * internal::MostOversupply)
-    return nullptr;
-  return *Best;
-}
-
 void GroupPlanner::formGroups(const ServiceEntry &Service) {
   FreeServers Free = freeServers(Service.m_id);
-  std::set<std::string> Without;
-  while (const EngineModel *Model = neediest(Service, Without)) {
-    if (formOne(Service, *Model, Free))
-      continue;
-    if (Without.empty() && m_input->m_trafficSeen)
-      borrowFor(Service, *Model, Free);
-    Without.insert(Model->m_name);
-  }
+  bool Borrowed = !m_input->m_trafficSeen;
+  auto FormAny = [&] {
+    for (const EngineModel *Model : balance(Service).byNeed()) {
+      if (formOne(Service, *Model, Free))
+        return true;
+      if (!std::exchange(Borrowed, true))
+        borrowFor(Service, *Model, Free);
+    }
+    return false;
+  };
+  while (FormAny())
+    ;
   stageWeights(Service, Free);
 }
 
@@ -471,51 +458,75 @@
          Spares;
 }
 
-std::size_t GroupPlanner::warmServers(const EngineModel &Model,
-                                      const FreeServers &Free,
-                                      const FabricDomainId &Domain,
-                                      const Group &Closed) const {
+GroupPlanner::Borrowing GroupPlanner::borrowIn(const ServiceEntry &Service,
+                                               const EngineModel &Model,
+                                               const FabricDomainId &Domain,
+                                               const FreeServers &Free) {
+  Borrowing Found;
+  ModelBalance Balance = balance(Service);
   std::size_t Warm = 0;
   auto Here = Free.find(Domain);
   if (Here != Free.end())
     for (const ServerRecord *Server : Here->second)
       Warm += Server->holdsWeights(Model.m_name) ? 1 : 0;
-  for (const Member &M : Closed.m_members) {
-    const ServerRecord *Server = present(Closed, M);
-    Warm += Server != nullptr && Server->holdsWeights(Model.m_name) ? 1 : 0;
+  for (auto &[Epoch, G] : m_groups) {
+    if (Warm >= Model.m_members)
+      break;
+    const EngineModel *Other = Service.m_engine->model(G.m_model);
+    const ServerRecord *Head = m_input->m_servers->find(G.head());
+    if (G.m_phase != GroupPhase::Serving || G.m_service != Service.m_id ||
+        Other == nullptr || Other == &Model || Head == nullptr ||
+        Head->m_said.m_fabricDomain != Domain)
+      continue;
+    // The model that gives must stay ahead of the one that takes.
+    Balance.remove(*Other, G.m_members.size());
+    if (Balance.ratio(*Other) < Balance.ratio(Model)) {
+      Balance.add(*Other, G.m_members.size());
+      continue;
+    }
+    std::size_t Before = Warm;
+    for (const Member &M : G.m_members) {
+      const ServerRecord *Server = present(G, M);
+      Warm += Server != nullptr && Server->holdsWeights(Model.m_name) ? 1 : 0;
+    }
+    if (Warm == Before)
+      continue;
+    Found.m_closed.push_back(&G);
+    Found.m_servers += G.m_members.size();
   }
-  return Warm;
+  if (Warm < Model.m_members)
+    return {};
+  return Found;
 }
 
 void GroupPlanner::borrowFor(const ServiceEntry &Service,
                              const EngineModel &Model,
                              const FreeServers &Free) {
-  Group *Best = nullptr;
-  std::size_t MostWarm = 0;
-  FabricDomainId BestDomain;
   ModelBalance Balance = balance(Service);
-  for (auto &[Epoch, G] : m_groups) {
-    const EngineModel *Other = Service.m_engine->model(G.m_model);
-    if (G.m_phase != GroupPhase::Serving || G.m_service != Service.m_id ||
-        Other == nullptr || Other == &Model)
-      continue;
-    if (Balance.ratio(*Other) < Balance.ratio(Model) * internal::MostOversupply)
-      continue;
-    const ServerRecord *Head = m_input->m_servers->find(G.head());
-    if (Head == nullptr || m_reserved.count(Head->m_said.m_fabricDomain) > 0)
-      continue;
-    std::size_t Warm = warmServers(Model, Free, Head->m_said.m_fabricDomain, G);
-    if (Warm < Model.m_members || Warm < MostWarm)
+  const EngineModel *Richest = Balance.byNeed().back();
+  if (Balance.ratio(*Richest) < Balance.ratio(Model) * internal::MostOversupply)
+    return;
+  std::set<FabricDomainId> Domains;
+  for (const auto &[Id, Server] : m_input->m_servers->all())
+    if (Server.m_said.m_service == Service.m_id &&
+        m_reserved.count(Server.m_said.m_fabricDomain) == 0)
+      Domains.insert(Server.m_said.m_fabricDomain);
+  Borrowing Best;
+  FabricDomainId BestDomain;
+  for (const FabricDomainId &Domain : Domains) {
+    Borrowing Found = borrowIn(Service, Model, Domain, Free);
+    if (Found.m_closed.empty() ||
+        (!Best.m_closed.empty() && Found.m_servers >= Best.m_servers))
       continue;
-    Best = &G;
-    MostWarm = Warm;
-    BestDomain = Head->m_said.m_fabricDomain;
+    Best = std::move(Found);
+    BestDomain = Domain;
   }
-  if (Best == nullptr)
+  if (Best.m_closed.empty())
     return;
   m_reserved[BestDomain] = {Model.m_name, m_now + m_options.m_reserveFor};
-  enter(*Best, GroupPhase::Closing,
-        fmt::format("servers for a group of {}", Model.m_name));
+  for (Group *G : Best.m_closed)
+    enter(*G, GroupPhase::Closing,
+          fmt::format("servers for a group of {}", Model.m_name));
 }
 
 bool GroupPlanner::formOne(const ServiceEntry &Service,
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -197,8 +197,6 @@
   bool isFree(const ServerRecord &Server) const;
   FreeServers freeServers(const ServiceId &Service) const;
   void formGroups(const ServiceEntry &Service);
-  const EngineModel *neediest(const ServiceEntry &Service,
-                              const std::set<std::string> &Without) const;
   /// Servers of each model in groups that serve or will.
   ModelBalance balance(const ServiceEntry &Service) const;
   bool formOne(const ServiceEntry &Service, const EngineModel &Model,
@@ -206,16 +204,19 @@
   /// Whether forming a group would use up the spares without repairing one.
   bool eatsSpares(const ServiceEntry &Service, const EngineModel &Model,
                   const FreeServers &Free, std::int64_t Loads) const;
-  /// Closes a group of a better supplied model where its members and the free
-  /// servers of its fabric domain then suffice for a group of `Model`.
+  /// Groups that would have to close for a group of another model.
+  struct Borrowing {
+    std::vector<Group *> m_closed;
+    std::size_t m_servers = 0;
+  };
+  /// Closes groups of better supplied models where their members and the free
+  /// servers of their fabric domain then suffice for a group of `Model` without
+  /// a load.
   void borrowFor(const ServiceEntry &Service, const EngineModel &Model,
                  const FreeServers &Free);
+  Borrowing borrowIn(const ServiceEntry &Service, const EngineModel &Model,
+                     const FabricDomainId &Domain, const FreeServers &Free);
   void stageWeights(const ServiceEntry &Service, const FreeServers &Free);
-  /// Servers of the domain that could join a group of the model without a load:
-  /// free ones and the members of `Closed`.
-  std::size_t warmServers(const EngineModel &Model, const FreeServers &Free,
-                          const FabricDomainId &Domain,
-                          const Group &Closed) const;
 
   GroupPlannerOptions m_options;
   std::uint64_t m_fence = 0;
--- a/packages/groups/turmericdyke/src/Groups/ModelBalance.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ModelBalance.cpp
@@ -29,6 +29,10 @@
   m_entries[Model.m_name].m_servers += static_cast<double>(Servers);
 }
 
+void ModelBalance::remove(const EngineModel &Model, std::size_t Servers) {
+  m_entries[Model.m_name].m_servers -= static_cast<double>(Servers);
+}
+
 double ModelBalance::ratio(const EngineModel &Model) const {
   const Entry &State = m_entries.at(Model.m_name);
   return State.m_servers / State.m_demand;
--- a/packages/groups/turmericdyke/src/Groups/ModelBalance.h
+++ b/packages/groups/turmericdyke/src/Groups/ModelBalance.h
@@ -18,6 +18,7 @@
                const std::map<std::string, double> &Demand);
 
   void add(const EngineModel &Model, std::size_t Servers);
+  void remove(const EngineModel &Model, std::size_t Servers);
   /// Servers for each unit of demand.
   double ratio(const EngineModel &Model) const;
   /// The models, the worst supplied first.
