Tell refused callers when there will be room; avoid targets that fall silent

Apart from that, requests went to the head of a group that had lost a member until its loss was known, 0.9 to 1.2 s later.

Ruled out: overload (3 requests were refused at full targets), a queue at entry nodes (nothing can be served before the lease).

Change: returnTime decides when a refused caller should come back: after a start when the system is back (2 s after it), at full targets when the present requests have ended (a running mean), spread by 40 %. A target whose flowing streams sent nothing for 180 ms gets new requests only if nothing else has room; after 350 ms a coordinator is asked to look at it (600 ms before).

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -23,15 +23,25 @@
 /// A caller that has not taken this many bytes of a stream stops the reading
 /// from the target.
 constexpr std::size_t MaxUnsentBytes = 256 << 10;
-/// When a refused caller may come back: about the time of one short answer.
-constexpr absl::Duration OverloadRetryAfter = absl::Milliseconds(400);
-/// When a caller may come back to a node that lost touch, or whose targets are
-/// gone: the feed's interval and a margin.
-constexpr absl::Duration AbsentRetryAfter = absl::Milliseconds(500);
-
 constexpr int FirstFailure = 300;
 constexpr int FirstServerFailure = 500;
 
+/// Why a refused caller may come back; nothing if it should not.
+std::optional<ReturnCause> causeOf(Refusal Reason) {
+  switch (Reason) {
+  case Refusal::NotInformed:
+    return ReturnCause::NotInformed;
+  case Refusal::NoTarget:
+    return ReturnCause::NoTarget;
+  case Refusal::Overloaded:
+    return ReturnCause::Full;
+  case Refusal::AttemptsFailed:
+    return ReturnCause::AttemptsFailed;
+  default:
+    return std::nullopt;
+  }
+}
+
 double seconds(absl::Duration Value) { return absl::ToDoubleSeconds(Value); }
 
 } // namespace
@@ -64,12 +74,8 @@
   m_caller = m_services.m_dialect.readRequest(Request);
   m_received = Request.m_received;
   m_exchange->onGone([this] { onCallerGone(); });
-  if (std::optional<Refusal> Reason = admit()) {
-    std::optional<absl::Duration> RetryAfter;
-    if (*Reason == Refusal::NotInformed)
-      RetryAfter = internal::AbsentRetryAfter;
-    return refuse(*Reason, RetryAfter);
-  }
+  if (std::optional<Refusal> Reason = admit())
+    return refuse(*Reason);
   absl::Duration Patience = std::min(
       m_caller.m_patience.value_or(m_route->m_timeout), m_route->m_timeout);
   m_deadline = m_received + Patience;
@@ -135,8 +141,7 @@
     Option.m_others = m_services.m_feed.othersUse(Id);
     Option.m_othersAge = Now - m_services.m_feed.othersHeard();
     Option.m_avoided = m_services.m_health.avoided(Now, Id);
-    Option.m_sameFailureDomain =
-        Target.m_failureDomain == m_services.m_settings.m_failureDomain;
+    Option.m_quiet = m_services.m_stalls.quiet(Now, Id);
     Options.push_back(Option);
   }
   return Options;
@@ -146,9 +151,7 @@
   Instant Now = monotonicNow();
   bool NeedsLease = !m_customer.empty();
   if (NeedsLease && Now >= m_services.m_feed.leaseUntil())
-    return m_mayHaveRun
-               ? refuse(Refusal::MayHaveRun, std::nullopt)
-               : refuse(Refusal::NotInformed, internal::AbsentRetryAfter);
+    return refuse(m_mayHaveRun ? Refusal::MayHaveRun : Refusal::NotInformed);
   std::vector<PlacementOption> Options = options();
   PlacementDecision Decision =
       place(Options, m_services.m_placement, m_services.m_random);
@@ -165,10 +168,10 @@
         .field("others_age_ms", absl::ToInt64Milliseconds(
                                     Now - m_services.m_feed.othersHeard()));
     if (m_mayHaveRun)
-      return refuse(Refusal::MayHaveRun, std::nullopt);
-    if (Decision.m_outcome == PlacementOutcome::NoTarget)
-      return refuse(Refusal::NoTarget, internal::AbsentRetryAfter);
-    return refuse(Refusal::Overloaded, internal::OverloadRetryAfter);
+      return refuse(Refusal::MayHaveRun);
+    return refuse(Decision.m_outcome == PlacementOutcome::NoTarget
+                      ? Refusal::NoTarget
+                      : Refusal::Overloaded);
   }
   send(*Options[Decision.m_index].m_target);
 }
@@ -209,7 +212,7 @@
 
 std::unique_ptr<HttpClientConnection> EntryExchange::releaseTarget() {
   if (std::exchange(m_watched, false))
-    m_services.m_stalls.ended(m_target.m_id);
+    m_services.m_stalls.ended(m_target.m_id, m_progressed);
   if (--m_services.m_uses[m_target.m_id] <= 0)
     m_services.m_uses.erase(m_target.m_id);
   std::set<EntryExchange *> &Here = m_services.m_attempts[m_target.m_id];
@@ -276,11 +279,11 @@
   if (Whole.empty())
     return;
   Instant Now = monotonicNow();
-  if (!m_progressed) {
-    m_progressed = true;
+  bool First = !std::exchange(m_progressed, true);
+  if (First)
     m_services.m_health.succeeded(m_target.m_id);
-  }
-  m_services.m_stalls.progressed(Now, m_target.m_id);
+  if (m_watched)
+    m_services.m_stalls.progressed(Now, m_target.m_id, First);
   m_firstByte = std::min(m_firstByte, Now);
   m_exchange->write(Whole);
   if (m_exchange->unsentBytes() > internal::MaxUnsentBytes && m_connection) {
@@ -340,6 +343,8 @@
   Instant Now = monotonicNow();
   bool Failed = Ending == AttemptEnding::NotSent ||
                 (Ending == AttemptEnding::Lost && !m_staleConnection);
+  if (Ending == AttemptEnding::Answered)
+    m_services.m_runs.ended(m_service, m_caller.m_model, Now - m_attemptBegun);
   if (Failed)
     m_services.m_health.failed(Now, m_target.m_id);
   else if (Ending == AttemptEnding::Answered)
@@ -371,9 +376,9 @@
   case Verdict::HandOn:
     return handOn();
   case Verdict::RefuseNotRun:
-    return refuse(Refusal::AttemptsFailed, internal::AbsentRetryAfter);
+    return refuse(Refusal::AttemptsFailed);
   case Verdict::FailMayHaveRun:
-    return refuse(Refusal::MayHaveRun, std::nullopt);
+    return refuse(Refusal::MayHaveRun);
   }
 }
 
@@ -398,14 +403,25 @@
   finish(Reason, 0);
 }
 
-void EntryExchange::refuse(Refusal Reason,
-                           std::optional<absl::Duration> RetryAfter) {
+std::optional<absl::Duration> EntryExchange::returnAfter(Refusal Reason) const {
+  std::optional<ReturnCause> Cause = internal::causeOf(Reason);
+  if (!Cause)
+    return std::nullopt;
+  ReturnFacts Facts;
+  Facts.m_cause = *Cause;
+  Facts.m_upFor = monotonicNow() - m_services.m_started;
+  Facts.m_everInformed = m_services.m_feed.leaseUntil() != absl::InfinitePast();
+  Facts.m_meanRun = m_services.m_runs.mean(m_service, m_caller.m_model);
+  return returnTime(Facts, m_services.m_random);
+}
+
+void EntryExchange::refuse(Refusal Reason) {
   // The caller has part of a stream already; only breaking it off shows that it
   // is not complete.
   if (relays())
     return breakOff(nameOf(Reason));
   HttpResponse Response =
-      m_services.m_dialect.refusal(Reason, m_caller.m_id, RetryAfter);
+      m_services.m_dialect.refusal(Reason, m_caller.m_id, returnAfter(Reason));
   m_services.m_metrics.increment("turmericdyke_refusals_total",
                                  {{"reason", nameOf(Reason)}});
   m_exchange->respond(Response);
@@ -433,8 +449,8 @@
   }
   if (m_callerGone)
     return finish("caller_gone", 0);
-  refuse(InFlight || m_mayHaveRun ? Refusal::TimedOut : Refusal::TimedOutNotRun,
-         std::nullopt);
+  refuse(InFlight || m_mayHaveRun ? Refusal::TimedOut
+                                  : Refusal::TimedOutNotRun);
 }
 
 void EntryExchange::logAttempt(AttemptEnding Ending, Verdict Next) const {
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -54,7 +54,9 @@
   void relay(std::string_view Bytes);
   void handOn();
   void breakOff(std::string_view Reason);
-  void refuse(Refusal Reason, std::optional<absl::Duration> RetryAfter);
+  void refuse(Refusal Reason);
+  /// When the caller should come back; nothing if it should not.
+  std::optional<absl::Duration> returnAfter(Refusal Reason) const;
   void onCallerGone();
   void onTimeout();
   void finish(std::string_view Outcome, int Status);
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -202,9 +202,11 @@
     LogLine(LogLevel::Info, "target_stalled")
         .field("target", Stall.m_target)
         .field("running_here", m_services->m_uses[Stall.m_target])
+        .field("silent", Stall.m_silent)
         .field("given_up", Stall.m_abandon)
         .field("term", m_feed->term());
-    m_services->m_health.failed(Now, Stall.m_target);
+    if (Stall.m_silent)
+      m_services->m_health.failed(Now, Stall.m_target);
     m_suspects.push_back(Stall.m_target);
     if (Stall.m_abandon)
       moveRequests(Stall.m_target);
--- a/packages/entry/turmericdyke/src/Entry/EntryServices.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -14,6 +14,8 @@
 #include "turmericdyke/src/Http/HttpClientPool.h"
 #include "turmericdyke/src/Loop/EventLoop.h"
 #include "turmericdyke/src/Serving/Placement.h"
+#include "turmericdyke/src/Serving/ReturnTime.h"
+#include "turmericdyke/src/Serving/RunTimes.h"
 #include "turmericdyke/src/Serving/StallWatch.h"
 #include "turmericdyke/src/Serving/TargetHealth.h"
 
@@ -39,6 +41,8 @@
   std::shared_ptr<const RouteTable> m_routes;
   TargetHealth m_health;
   StallWatch m_stalls;
+  RunTimes m_runs;
+  Instant m_started = monotonicNow();
   PlacementOptions m_placement;
   std::map<ServiceId, RepeatAllowance> m_repeats;
   /// Requests of this node at each target.
--- a/packages/serving/test/ServingTest.cpp
+++ b/packages/serving/test/ServingTest.cpp
@@ -206,7 +206,7 @@
   Watch.begun(Start, Id);
   Instant Later = Start + absl::Milliseconds(500);
   CHECK(Watch.stalled(Later).empty());
-  Watch.progressed(Later, Id);
+  Watch.progressed(Later, Id, true);
   CHECK(Watch.stalled(Start + absl::Milliseconds(700)).empty());
   // Another stream that is sent there does not hide the silence.
   Watch.begun(Later + absl::Milliseconds(600), Id);
@@ -219,12 +219,46 @@
   Named = Watch.stalled(Later + absl::Milliseconds(600));
   REQUIRE(Named.size() == 1);
   CHECK(Named[0].m_abandon);
-  Watch.ended(Id);
-  Watch.ended(Id);
+  Watch.ended(Id, true);
+  Watch.ended(Id, false);
   CHECK(Watch.stalled(Later + absl::Seconds(5)).empty());
   CHECK_FALSE(Watch.watches());
 }
 
+// Guards against new requests that are sent to a group in the second between
+// the loss of a member and its discovery.
+TEST_CASE("a target whose flowing streams fall silent gets no new requests") {
+  StallWatch Watch;
+  TargetId Id("a");
+  Watch.begun(Start, Id);
+  // A prompt is read for some hundred ms before the first event.
+  CHECK_FALSE(Watch.quiet(Start + absl::Milliseconds(400), Id));
+  Instant Now = Start + absl::Milliseconds(400);
+  Watch.progressed(Now, Id, true);
+  CHECK_FALSE(Watch.quiet(Now + absl::Milliseconds(100), Id));
+  CHECK(Watch.quiet(Now + absl::Milliseconds(200), Id));
+  auto Named = Watch.stalled(Now + absl::Milliseconds(400));
+  REQUIRE(Named.size() == 1);
+  CHECK_FALSE(Named[0].m_silent);
+  Named = Watch.stalled(Now + absl::Milliseconds(650));
+  REQUIRE(Named.size() == 1);
+  CHECK(Named[0].m_silent);
+
+  ServingTarget Dead = target("a", 4);
+  ServingTarget Sound = target("b", 4);
+  PlacementOption Quiet;
+  Quiet.m_target = &Dead;
+  Quiet.m_quiet = true;
+  PlacementOption Busy;
+  Busy.m_target = &Sound;
+  Busy.m_own = 4;
+  absl::BitGen Random;
+  for (int Try = 0; Try < 20; ++Try)
+    CHECK(place({Quiet, Busy}, {}, Random).m_index == 1);
+  Busy.m_own = 5;
+  CHECK(place({Quiet, Busy}, {}, Random).m_index == 0);
+}
+
 // Guards against streams that are cut because their target leaves in order: it
 // takes nothing new and finishes what it has.
 TEST_CASE("a target closed to new requests keeps its streams while they move") {
@@ -235,10 +269,42 @@
   Instant Now = Start;
   for (int Event = 0; Event < 40; ++Event) {
     Now += absl::Milliseconds(100);
-    Watch.progressed(Now, Id);
+    Watch.progressed(Now, Id, Event == 0);
     CHECK(Watch.stalled(Now).empty());
   }
   auto Named = Watch.stalled(Now + absl::Milliseconds(450));
   REQUIRE(Named.size() == 1);
   CHECK(Named[0].m_abandon);
 }
+
+// Guards against callers that return to a restarted system before it can serve
+// them, and, having come back once, are lost.
+TEST_CASE("after a start callers return when the system is back") {
+  absl::BitGen Random;
+  ReturnFacts Facts;
+  Facts.m_cause = ReturnCause::NotInformed;
+  Facts.m_everInformed = false;
+  for (int Draw = 0; Draw < 100; ++Draw) {
+    Facts.m_upFor = absl::Milliseconds(100);
+    CHECK(returnTime(Facts, Random) >= absl::Milliseconds(1900));
+    Facts.m_upFor = absl::Seconds(1);
+    CHECK(returnTime(Facts, Random) >= absl::Seconds(1));
+    CHECK(returnTime(Facts, Random) <= absl::Milliseconds(1400));
+  }
+}
+
+// Guards against callers that are all sent back to the same moment of a crest.
+TEST_CASE("returns from full targets are spread past the present requests") {
+  absl::BitGen Random;
+  ReturnFacts Facts;
+  Facts.m_meanRun = absl::Seconds(1);
+  absl::Duration Least = absl::InfiniteDuration();
+  absl::Duration Most = absl::ZeroDuration();
+  for (int Draw = 0; Draw < 1000; ++Draw) {
+    absl::Duration Time = returnTime(Facts, Random);
+    Least = std::min(Least, Time);
+    Most = std::max(Most, Time);
+  }
+  CHECK(Least >= Facts.m_meanRun);
+  CHECK(Most - Least >= absl::Milliseconds(300));
+}
--- a/packages/serving/turmericdyke/src/Serving/Placement.cpp
+++ b/packages/serving/turmericdyke/src/Serving/Placement.cpp
@@ -43,18 +43,21 @@
   bool AllAvoided = std::all_of(
       Options.begin(), Options.end(),
       [](const PlacementOption &Option) { return Option.m_avoided; });
-  std::vector<Candidate> Candidates;
   std::vector<std::size_t> Indexes;
   Decision.m_load = internal::loadOf(Options.front());
   for (std::size_t At = 0; At < Options.size(); ++At) {
     double Load = internal::loadOf(Options[At]);
     Decision.m_load = std::min(Decision.m_load, Load);
-    if ((Options[At].m_avoided && !AllAvoided) ||
-        Load >= 1 + Settings.m_waitingPerSlot)
-      continue;
-    Candidates.push_back(internal::candidateOf(Options[At]));
-    Indexes.push_back(At);
+    if ((!Options[At].m_avoided || AllAvoided) &&
+        Load < 1 + Settings.m_waitingPerSlot)
+      Indexes.push_back(At);
   }
+  auto IsQuiet = [&](std::size_t At) { return Options[At].m_quiet; };
+  if (!std::all_of(Indexes.begin(), Indexes.end(), IsQuiet))
+    std::erase_if(Indexes, IsQuiet);
+  std::vector<Candidate> Candidates;
+  for (std::size_t At : Indexes)
+    Candidates.push_back(internal::candidateOf(Options[At]));
   if (Candidates.empty())
     return Decision;
   WeightedStrategy Strategy;
--- a/packages/serving/turmericdyke/src/Serving/Placement.h
+++ b/packages/serving/turmericdyke/src/Serving/Placement.h
@@ -22,7 +22,9 @@
   absl::Duration m_othersAge = absl::ZeroDuration();
   /// Failed lately; used only if nothing else is left.
   bool m_avoided = false;
-  bool m_sameFailureDomain = false;
+  /// Its streams have sent nothing for a moment; used if nothing better has
+  /// room.
+  bool m_quiet = false;
 };
 
 struct PlacementOptions {
--- a/packages/serving/turmericdyke/src/Serving/StallWatch.h
+++ b/packages/serving/turmericdyke/src/Serving/StallWatch.h
@@ -10,6 +10,14 @@
 namespace turmericdyke {
 
 struct StallWatchOptions {
+  /// A target that has sent nothing for this long, though streams were flowing,
+  /// gets new requests only if there is no other. Events come every 50 ms at
+  /// full batches.
+  absl::Duration m_quiet = absl::Milliseconds(180);
+  /// After this long without an event of streams that were flowing, a
+  /// coordinator is asked to look at the target; the question costs little if
+  /// the target is only slow.
+  absl::Duration m_doubtful = absl::Milliseconds(350);
   /// A target whose streams are all silent for this long stands still. Events
   /// come every 50 ms at full batches and every 400 ms from a server that is
   /// eight times too slow.
@@ -34,15 +42,20 @@
 
   /// A stream was sent to the target.
   void begun(Instant Now, const TargetId &Target);
-  /// Any stream of the target has sent something.
-  void progressed(Instant Now, const TargetId &Target);
+  /// Any stream of the target has sent something. `First` tells that it is the
+  /// first event of its stream.
+  void progressed(Instant Now, const TargetId &Target, bool First);
   /// The target takes no new requests any more.
   void closedToNew(const TargetId &Target);
-  /// A stream has ended.
-  void ended(const TargetId &Target);
+  /// A stream has ended. `Flowing` tells that it had sent something.
+  void ended(const TargetId &Target, bool Flowing);
+  /// Whether new requests are better sent elsewhere.
+  bool quiet(Instant Now, const TargetId &Target) const;
 
   struct Stall {
     TargetId m_target;
+    /// It stands still; before, it is only doubtful.
+    bool m_silent = false;
     /// Its streams should go on elsewhere.
     bool m_abandon = false;
   };
@@ -58,6 +71,8 @@
 
   struct Watched {
     int m_streams = 0;
+    /// Streams that have sent something.
+    int m_flowing = 0;
     Instant m_progress;
     Instant m_named = absl::InfinitePast();
     bool m_closedToNew = false;
