Move streams away from targets that close, where another has ample room

Ruled out: closing with the mode that cuts (the streams of a caller whose attempts are used up would break); closing later (the same time, shifted).

Change: when the feed says that a target takes nothing new, a stream that may be resumed and has an attempt left goes on at a target that keeps a quarter of its slots free, unless fewer than three repeats are left for failures. Others stay and are finished.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -23,6 +23,12 @@
 /// A caller that has not taken this many bytes of a stream stops the reading
 /// from the target.
 constexpr std::size_t MaxUnsentBytes = 256 << 10;
+/// A stream leaves a closing target only for one that keeps this part of its
+/// slots free: a second refusal would end it.
+constexpr double SlotsKeptFree = 0.25;
+/// Repeats of this node that streams of closing targets leave to failures.
+constexpr double RepeatsKeptForFailures = 3;
+
 constexpr int FirstFailure = 300;
 constexpr int FirstServerFailure = 500;
 
@@ -334,6 +340,24 @@
   settle(AttemptEnding::GroupEnded);
 }
 
+void EntryExchange::onTargetClosing() {
+  if (!m_connection || m_callerGone || m_route->m_kind != RouteKind::Stream ||
+      !mayRepeatByKind() || m_attempts >= m_route->m_maxAttempts)
+    return;
+  Instant Now = monotonicNow();
+  if (m_services.repeats(m_service).available(Now) <
+      internal::RepeatsKeptForFailures)
+    return;
+  PlacementOptions AmpleRoom;
+  AmpleRoom.m_waitingPerSlot = -internal::SlotsKeptFree;
+  if (place(options(), AmpleRoom, m_services.m_random).m_outcome !=
+      PlacementOutcome::Placed)
+    return;
+  m_connection->cancel();
+  endAttempt(false);
+  settle(AttemptEnding::GroupEnded);
+}
+
 bool EntryExchange::mayRepeatByKind() const {
   return m_route->m_kind == RouteKind::Repeatable ||
          (m_route->m_kind == RouteKind::Stream && m_route->m_resumable);
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -32,6 +32,9 @@
   /// The target of the present attempt serves no more, or stands still: the
   /// request goes on elsewhere if its kind allows it.
   void onTargetEnded();
+  /// The target of the present attempt finishes what it has and is then freed
+  /// for another group: a stream goes on elsewhere if there is ample room.
+  void onTargetClosing();
 
   bool onResponseHead(const HttpResponseHead &Head) override;
   void onResponseBody(std::string_view Bytes) override;
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -187,13 +187,14 @@
   m_feedTimer = m_loop.at(m_feed->nextTick(), [this] { tickFeed(); });
 }
 
-void EntryNode::moveRequests(const TargetId &Target) {
+void EntryNode::tellRequests(const TargetId &Target,
+                             void (EntryExchange::*What)()) {
   auto Found = m_services->m_attempts.find(Target);
   if (Found == m_services->m_attempts.end())
     return;
   std::set<EntryExchange *> Running = Found->second;
   for (EntryExchange *Exchange : Running)
-    Exchange->onTargetEnded();
+    (Exchange->*What)();
 }
 
 void EntryNode::checkStalls() {
@@ -209,7 +210,7 @@
       m_services->m_health.failed(Now, Stall.m_target);
     m_suspects.push_back(Stall.m_target);
     if (Stall.m_abandon)
-      moveRequests(Stall.m_target);
+      tellRequests(Stall.m_target, &EntryExchange::onTargetEnded);
   }
   if (!m_suspects.empty()) {
     m_feed->hurry(Now);
@@ -244,6 +245,7 @@
                                    ? m_services->m_uses.at(Ended)
                                    : 0);
     m_services->m_stalls.closedToNew(Ended);
+    tellRequests(Ended, &EntryExchange::onTargetClosing);
   }
   noteInformed();
   if (m_feed->nextTick() <= Now)
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.h
@@ -44,8 +44,8 @@
   void tickFeed();
   /// Names the targets whose streams stand still to the leader.
   void checkStalls();
-  /// Lets requests at a target that serves no more go on elsewhere.
-  void moveRequests(const TargetId &Target);
+  /// Tells the requests at a target what has become of it.
+  void tellRequests(const TargetId &Target, void (EntryExchange::*What)());
   void takeRouting(std::string_view Document, std::uint64_t Version);
   void noteInformed();
   bool ready() const;
