Keep callers' and foreign names out of messages between nodes; remove dead code

Cause: entry nodes reported requests by the model names that callers sent. A name of more than 256 bytes made the whole report unreadable, so one caller could cut a node off from its coordinators until the next report.

Change: entry nodes report a count, which is all that is used. Removed: demand by model (never used), m_lastEventId, HttpClientPool::kept. The planner looks up the members of groups in one set instead of walking all groups for each server.

--- a/packages/entry/turmericdyke/src/Entry/EntryDialect.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryDialect.h
@@ -28,8 +28,6 @@
   std::string m_model;
   std::int64_t m_promptTokens = 0;
   std::int64_t m_answerTokens = 0;
-  /// The last event that the caller holds of a stream it resumes.
-  std::optional<std::string> m_lastEventId;
 };
 
 /// What an attempt tells the target beside the caller's request.
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -89,7 +89,7 @@
   m_service = drawService();
   m_services.repeats(m_service).onRequest(monotonicNow());
   if (!m_caller.m_model.empty())
-    ++m_services.m_demand[m_caller.m_model];
+    ++m_services.m_modelRequests;
   attempt();
 }
 
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -166,11 +166,10 @@
   for (FeedFollower::Asking &Ask : m_feed->tick(Now)) {
     for (const auto &[Target, Count] : m_services->m_uses)
       Ask.m_request.m_uses.push_back({Target, Count});
-    // Demand is told once, to the leader.
+    // What is counted since the last report is told once, to the leader.
     if (Ask.m_coordinator == m_feed->leader()) {
-      for (const auto &[Model, Count] : m_services->m_demand)
-        Ask.m_request.m_demand.push_back({Model, Count});
-      m_services->m_demand.clear();
+      Ask.m_request.m_modelRequests =
+          std::exchange(m_services->m_modelRequests, 0);
       Ask.m_request.m_suspects = std::exchange(m_suspects, {});
       Ask.m_request.m_progressing = m_services->m_stalls.takeProgress();
     }
--- a/packages/entry/turmericdyke/src/Entry/EntryServices.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -47,8 +47,8 @@
   std::map<ServiceId, RepeatAllowance> m_repeats;
   /// Requests of this node at each target.
   std::map<TargetId, std::int64_t> m_uses;
-  /// Requests for each model since the last report.
-  std::map<std::string, std::int64_t> m_demand;
+  /// Requests for models since the last report.
+  std::int64_t m_modelRequests = 0;
   /// Exchanges with an attempt at a target, for the end of groups.
   std::map<TargetId, std::set<EntryExchange *>> m_attempts;
   MetricsRegistry m_metrics;
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -1,6 +1,5 @@
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 
-#include <cmath>
 #include <set>
 
 namespace turmericdyke {
@@ -10,9 +9,6 @@
 
 /// Eight missed requests of an entry node; see `FeedFollowerOptions`.
 constexpr absl::Duration SubscriberSilence = absl::Seconds(2);
-/// Demand of this long ago counts with a weight of 1/e. A swing of demand takes
-/// several seconds; single requests should not show.
-constexpr absl::Duration DemandWindow = absl::Seconds(5);
 
 } // namespace
 } // namespace internal
@@ -45,30 +41,6 @@
     m_sequence = Next;
 }
 
-void FeedPublisher::countDemand(Instant Now, const FeedRequest &Request) {
-  if (m_demandSince != absl::InfinitePast()) {
-    double Fade = std::exp(-absl::ToDoubleSeconds(Now - m_demandSince) /
-                           absl::ToDoubleSeconds(internal::DemandWindow));
-    for (auto &[Model, Rate] : m_demand)
-      Rate *= Fade;
-  }
-  m_demandSince = Now;
-  for (const ModelDemand &Asked : Request.m_demand) {
-    m_demand[Asked.m_model] += static_cast<double>(Asked.m_requests) /
-                               absl::ToDoubleSeconds(internal::DemandWindow);
-    m_trafficSeen = m_trafficSeen || Asked.m_requests > 0;
-  }
-}
-
-std::map<std::string, double> FeedPublisher::demand(Instant Now) const {
-  std::map<std::string, double> Faded = m_demand;
-  double Fade = std::exp(-absl::ToDoubleSeconds(Now - m_demandSince) /
-                         absl::ToDoubleSeconds(internal::DemandWindow));
-  for (auto &[Model, Rate] : Faded)
-    Rate *= Fade;
-  return Faded;
-}
-
 void FeedPublisher::forgetSilent(Instant Now) {
   std::erase_if(m_subscribers, [Now](const auto &Entry) {
     return Now - Entry.second.m_lastHeard >= internal::SubscriberSilence;
@@ -131,7 +103,7 @@
   State.m_uses.clear();
   for (const TargetUse &Use : Request.m_uses)
     State.m_uses[Use.m_target] = Use.m_requests;
-  countDemand(Now, Request);
+  m_trafficSeen = m_trafficSeen || Request.m_modelRequests > 0;
   forgetSilent(Now);
   fill(Request.m_node, State, Facts, Update);
   Update.m_entries = entries(Now);
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
@@ -45,8 +45,7 @@
 
   /// Entry nodes heard of lately that do not stop.
   std::int64_t entries(Instant Now) const;
-  /// Requests per second asked of each model, a running mean.
-  std::map<std::string, double> demand(Instant Now) const;
+  /// Whether a model was asked for since the term began.
   bool trafficSeen() const { return m_trafficSeen; }
 
 private:
@@ -64,15 +63,12 @@
 
   void fill(const NodeId &To, Subscriber &State, const FeedFacts &Facts,
             FeedUpdate &Update) const;
-  void countDemand(Instant Now, const FeedRequest &Request);
   void forgetSilent(Instant Now);
 
   std::uint64_t m_sequence = 0;
   std::map<TargetId, Published> m_targets;
   std::map<TargetId, std::uint64_t> m_removed;
   std::map<NodeId, Subscriber> m_subscribers;
-  std::map<std::string, double> m_demand;
-  Instant m_demandSince = absl::InfinitePast();
   bool m_trafficSeen = false;
 };
 
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -16,9 +16,6 @@
 Json entryJson(const TargetUse &Value) {
   return {{"t", Value.m_target.str()}, {"n", Value.m_requests}};
 }
-Json entryJson(const ModelDemand &Value) {
-  return {{"m", Value.m_model}, {"n", Value.m_requests}};
-}
 Json entryJson(const ServingTarget &Value) {
   return {{"t", Value.m_id.str()},  {"s", Value.m_service.str()},
           {"a", Value.m_address},   {"d", Value.m_failureDomain.str()},
@@ -52,12 +49,6 @@
   keepError(Reader, Outer);
 }
 
-void readEntry(const Json &Value, ModelDemand &Entry, JsonReader &Outer) {
-  JsonReader Reader(Value);
-  Reader.text("m", Entry.m_model, true).number("n", Entry.m_requests);
-  keepError(Reader, Outer);
-}
-
 void readEntry(const Json &Value, ServingTarget &Entry, JsonReader &Outer) {
   JsonReader Reader(Value);
   Reader.id("t", Entry.m_id, true)
@@ -108,7 +99,7 @@
           {"sequence", Message.m_sequence},
           {"routing", Message.m_routingVersion},
           {"uses", internal::listJson(Message.m_uses)},
-          {"demand", internal::listJson(Message.m_demand)},
+          {"model_requests", Message.m_modelRequests},
           {"suspects", internal::listJson(Message.m_suspects)},
           {"progressing", internal::listJson(Message.m_progressing)},
           {"stopping", Message.m_stopping}};
@@ -149,9 +140,9 @@
       .number("term", Read.m_term)
       .number("sequence", Read.m_sequence)
       .number("routing", Read.m_routingVersion)
+      .number("model_requests", Read.m_modelRequests)
       .flag("stopping", Read.m_stopping);
   internal::readList(Reader, "uses", Read.m_uses);
-  internal::readList(Reader, "demand", Read.m_demand);
   internal::readList(Reader, "suspects", Read.m_suspects);
   internal::readList(Reader, "progressing", Read.m_progressing);
   return internal::finish(Reader, Read);
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -45,12 +45,6 @@
   std::int64_t m_requests = 0;
 };
 
-/// What callers asked of a model since the entry node's last report.
-struct ModelDemand {
-  std::string m_model;
-  std::int64_t m_requests = 0;
-};
-
 /// From an entry node to a coordinator: what it has, and what it uses.
 struct FeedRequest {
   NodeId m_node;
@@ -61,7 +55,8 @@
   std::uint64_t m_sequence = 0;
   std::uint64_t m_routingVersion = 0;
   std::vector<TargetUse> m_uses;
-  std::vector<ModelDemand> m_demand;
+  /// Requests for models since its last report.
+  std::int64_t m_modelRequests = 0;
   /// Targets whose streams stand still.
   std::vector<TargetId> m_suspects;
   /// Targets whose streams have sent something since the last request.
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -356,15 +356,22 @@
   return true;
 }
 
-bool GroupPlanner::isFree(const ServerRecord &Server) const {
-  const ServerAnnouncement &Said = Server.m_said;
-  if (Said.m_draining || Server.isLost(m_now, m_options.m_lostAfter))
-    return false;
+GroupPlanner::Taken GroupPlanner::takenServers() const {
+  Taken InGroups;
   for (const auto &[Epoch, G] : m_groups)
     if (G.m_phase != GroupPhase::Dissolving)
       for (const Member &M : G.m_members)
-        if (M.m_id == Said.m_id && M.m_bornMillis == Said.m_bornMillis)
-          return false;
+        InGroups.emplace(M.m_id, M.m_bornMillis);
+  return InGroups;
+}
+
+bool GroupPlanner::isFree(const ServerRecord &Server,
+                          const Taken &InGroups) const {
+  const ServerAnnouncement &Said = Server.m_said;
+  if (Said.m_draining || Server.isLost(m_now, m_options.m_lostAfter))
+    return false;
+  if (InGroups.count({Said.m_id, Said.m_bornMillis}) > 0)
+    return false;
   if (!Said.m_group)
     return true;
   auto Found = m_groups.find(Said.m_group->m_epoch);
@@ -376,14 +383,15 @@
 GroupPlanner::FreeServers
 GroupPlanner::freeServers(const ServiceId &Service) const {
   FreeServers Free;
+  Taken InGroups = takenServers();
   for (const auto &[Id, Server] : m_input->m_servers->all())
-    if (Server.m_said.m_service == Service && isFree(Server))
+    if (Server.m_said.m_service == Service && isFree(Server, InGroups))
       Free[Server.m_said.m_fabricDomain].push_back(&Server);
   return Free;
 }
 
 ModelBalance GroupPlanner::balance(const ServiceEntry &Service) const {
-  ModelBalance Balance(*Service.m_engine, m_input->m_demand);
+  ModelBalance Balance(*Service.m_engine);
   for (const auto &[Epoch, G] : m_groups) {
     const EngineModel *Model = G.m_service == Service.m_id
                                    ? Service.m_engine->model(G.m_model)
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -104,9 +104,6 @@
 struct GroupPlannerInput {
   const ServerDirectory *m_servers = nullptr;
   const Catalog *m_catalog = nullptr;
-  /// Requests per second asked of each model, by model name; models that are
-  /// absent count with their declared share.
-  std::map<std::string, double> m_demand;
   /// When each head last sent events to callers, as far as entry nodes have
   /// said. A group that has lost a member sends nothing.
   std::map<TargetId, Instant> m_progress;
@@ -194,7 +191,10 @@
 
   using FreeServers =
       std::map<FabricDomainId, std::vector<const ServerRecord *>>;
-  bool isFree(const ServerRecord &Server) const;
+  /// The lives of servers that belong to a group, unless it is being dissolved.
+  using Taken = std::set<std::pair<TargetId, std::int64_t>>;
+  Taken takenServers() const;
+  bool isFree(const ServerRecord &Server, const Taken &InGroups) const;
   FreeServers freeServers(const ServiceId &Service) const;
   void formGroups(const ServiceEntry &Service);
   /// Servers of each model in groups that serve or will.
--- a/packages/groups/turmericdyke/src/Groups/ModelBalance.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ModelBalance.cpp
@@ -9,19 +9,17 @@
 namespace internal {
 namespace {
 
-/// Stands for a demand of zero, so that ratios stay finite.
-constexpr double LeastDemand = 1e-3;
+/// Stands for a share of zero, so that ratios stay finite.
+constexpr double LeastShare = 1e-3;
 
 } // namespace
 } // namespace internal
 
-ModelBalance::ModelBalance(const EngineCosts &Engine,
-                           const std::map<std::string, double> &Demand) {
+ModelBalance::ModelBalance(const EngineCosts &Engine) {
   for (const EngineModel &Model : Engine.m_models) {
-    auto Asked = Demand.find(Model.m_name);
-    double Value = Asked == Demand.end() ? Model.m_share : Asked->second;
     m_models.push_back(&Model);
-    m_entries[Model.m_name].m_demand = std::max(Value, internal::LeastDemand);
+    m_entries[Model.m_name].m_share =
+        std::max(Model.m_share, internal::LeastShare);
   }
 }
 
@@ -35,7 +33,7 @@
 
 double ModelBalance::ratio(const EngineModel &Model) const {
   const Entry &State = m_entries.at(Model.m_name);
-  return State.m_servers / State.m_demand;
+  return State.m_servers / State.m_share;
 }
 
 std::vector<const EngineModel *> ModelBalance::byNeed() const {
--- a/packages/groups/turmericdyke/src/Groups/ModelBalance.h
+++ b/packages/groups/turmericdyke/src/Groups/ModelBalance.h
@@ -9,24 +9,22 @@
 struct EngineCosts;
 struct EngineModel;
 
-/// How many servers hold each model of a service, against what is asked of it.
+/// How many servers hold each model of a service, against its declared share of
+/// the work.
 class ModelBalance {
 public:
-  /// `Demand` by model name, in any unit that is the same for all; models that
-  /// are absent count with their declared share.
-  ModelBalance(const EngineCosts &Engine,
-               const std::map<std::string, double> &Demand);
+  explicit ModelBalance(const EngineCosts &Engine);
 
   void add(const EngineModel &Model, std::size_t Servers);
   void remove(const EngineModel &Model, std::size_t Servers);
-  /// Servers for each unit of demand.
+  /// Servers for each unit of the share.
   double ratio(const EngineModel &Model) const;
   /// The models, the worst supplied first.
   std::vector<const EngineModel *> byNeed() const;
 
 private:
   struct Entry {
-    double m_demand = 0;
+    double m_share = 0;
     double m_servers = 0;
   };
 
--- a/packages/http/turmericdyke/src/Http/HttpClientPool.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpClientPool.cpp
@@ -45,13 +45,6 @@
 
 void HttpClientPool::drop(const std::string &Address) { m_kept.erase(Address); }
 
-std::size_t HttpClientPool::kept() const {
-  std::size_t Count = 0;
-  for (const auto &[Address, Kept] : m_kept)
-    Count += Kept.size();
-  return Count;
-}
-
 void HttpClientPool::sweep() {
   m_sweep = EventLoop::Timer{};
   Instant Now = monotonicNow();
--- a/packages/http/turmericdyke/src/Http/HttpClientPool.h
+++ b/packages/http/turmericdyke/src/Http/HttpClientPool.h
@@ -30,8 +30,6 @@
   /// Closes all kept connections to an address.
   void drop(const std::string &Address);
 
-  std::size_t kept() const;
-
 private:
   void sweep();
 
