Send routing documents compressed, and the newest one only

Cause: on the grown fleet a document of 1,900 routes has about 470 KB and goes to 70 entry nodes; two versions within a second are more than the leader's link of 170 Mbit/s carries in 3 s.

Change: the publisher compresses each version once (zlib) and sends a node one document in 200 ms at most, the newest; an answer without the newest document gives no lease, so what the lease proves is unchanged.

Tests: the bytes come back and expand within a bound; 50 changes 20 ms apart make 6 documents at most and each answer without one gives no lease.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 PACKAGES = g++ cmake ninja-build ccache pkg-config clang-format clang-tidy make curl \
   libabsl-dev libnghttp2-dev libboost-dev libcpp-httplib-dev libhttp-parser-dev libgflags-dev libfmt-dev doctest-dev \
-  librapidcheck-dev nlohmann-json3-dev libyaml-cpp-dev libssl-dev
+  librapidcheck-dev nlohmann-json3-dev libyaml-cpp-dev libssl-dev zlib1g-dev
 
 .PHONY: deps build test format format-check lint check demo bench fuzz
 
--- a/packages/base/test/BaseTest.cpp
+++ b/packages/base/test/BaseTest.cpp
@@ -46,3 +46,18 @@
   CHECK(Text.find("wait_seconds_bucket{customer=\"a\",le=\"1000\"} 1\n") !=
         std::string::npos);
 }
+
+// Guards against a document that arrives changed, and against bytes that expand
+// without bound.
+TEST_CASE("what is compressed expands to the same bytes, within a bound") {
+  CHECK(rc::check("round trip", [](const std::string &Bytes) {
+    RC_ASSERT(expand(compress(Bytes), Bytes.size() + 1) == Bytes);
+  }));
+  std::string Many(1 << 20, 'a');
+  CHECK(expand(compress(Many), Many.size()) == Many);
+  CHECK_FALSE(expand(compress(Many), Many.size() / 2).has_value());
+  CHECK_FALSE(expand("not compressed", 100).has_value());
+  std::string Cut = compress(Many);
+  Cut.resize(Cut.size() / 2);
+  CHECK_FALSE(expand(Cut, Many.size()).has_value());
+}
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -236,6 +236,10 @@
         .field("term", m_feed->term());
   if (Change.m_routingDocument)
     takeRouting(*Change.m_routingDocument, Change.m_routingVersion);
+  else if (Change.m_routingVersion > 0)
+    LogLine(LogLevel::Error, "routing_not_read")
+        .field("version", Change.m_routingVersion)
+        .field("reason", "the bytes cannot be expanded");
   for (const TargetId &Ended : Change.m_ended) {
     LogLine(LogLevel::Info, "target_ended")
         .field("target", Ended)
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -140,6 +140,36 @@
   CHECK_FALSE(Third.m_routingDocument);
 }
 
+// Guards against a leader whose link is full of documents that the next change
+// overtakes, and against a lease for a node that lacks the newest one.
+TEST_CASE("changes in quick succession are sent as one document, and an answer "
+          "without it gives no lease") {
+  FeedPublisher Publisher;
+  FeedRequest Request;
+  Request.m_node = NodeId("entry");
+  Request.m_sentAtMicros = 5;
+  FeedFacts Facts = facts(1);
+  CHECK_FALSE(
+      Publisher.answer(Start, Request, Facts).m_routingDocument.empty());
+  std::size_t Documents = 0;
+  Instant Now = Start;
+  for (int Change = 0; Change < 50; ++Change) {
+    Now += absl::Milliseconds(20);
+    ++Facts.m_routingVersion;
+    for (const auto &[Node, Update] : Publisher.pushes(Now, Facts))
+      Documents += Update.m_routingDocument.empty() ? 0 : 1;
+    FeedUpdate Answer = Publisher.answer(Now, Request, Facts);
+    Documents += Answer.m_routingDocument.empty() ? 0 : 1;
+    CHECK((Answer.m_echoMicros == 0) == Answer.m_routingDocument.empty());
+  }
+  CHECK(Documents <= 6);
+  Now += absl::Milliseconds(250);
+  FeedUpdate Last = Publisher.answer(Now, Request, Facts);
+  CHECK(Last.m_routingVersion == Facts.m_routingVersion);
+  CHECK_FALSE(Last.m_routingDocument.empty());
+  CHECK(Last.m_echoMicros == 5);
+}
+
 TEST_CASE(
     "without an answer other coordinators are asked, hints are followed") {
   FeedFollower Follower(NodeId("entry"), {NodeId("a"), NodeId("b")});
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -3,8 +3,20 @@
 #include <algorithm>
 #include <cassert>
 
+#include "turmericdyke/src/Base/Compression.h"
+
 namespace turmericdyke {
 
+namespace internal {
+namespace {
+
+/// A routing document is an operator's file of 4 MiB at most; the bound keeps a
+/// faulty sender from filling memory.
+constexpr std::size_t MaxDocumentBytes = 8 << 20;
+
+} // namespace
+} // namespace internal
+
 FeedFollower::FeedFollower(NodeId Self, std::vector<NodeId> Seeds,
                            FeedFollowerOptions Options)
     : m_self(std::move(Self)), m_options(Options),
@@ -72,7 +84,8 @@
                  absl::FromUnixMicros(Update.m_echoMicros) + m_options.m_lease);
   if (Update.m_routingVersion > m_routingVersion &&
       !Update.m_routingDocument.empty()) {
-    Change.m_routingDocument = Update.m_routingDocument;
+    Change.m_routingDocument =
+        expand(Update.m_routingDocument, internal::MaxDocumentBytes);
     Change.m_routingVersion = Update.m_routingVersion;
   }
   m_others.clear();
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -29,7 +29,8 @@
   /// Targets that take no new requests any more.
   std::vector<TargetId> m_ended;
   bool m_targetsChanged = false;
-  /// A routing document that goes before the present one.
+  /// A routing document that goes before the present one; absent though its
+  /// version is set if it could not be expanded.
   std::optional<std::string> m_routingDocument;
   std::uint64_t m_routingVersion = 0;
   /// The term or the leader differs from before.
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include "turmericdyke/src/Base/Compression.h"
+
 namespace turmericdyke {
 
 namespace internal {
@@ -9,6 +11,10 @@
 
 /// Eight missed requests of an entry node; see `FeedFollowerOptions`.
 constexpr absl::Duration SubscriberSilence = absl::Seconds(2);
+/// A node is sent at most one routing document in this time, the newest:
+/// changes in quick succession must not fill the leader's link. It asks again
+/// every 250 ms, so that the last change waits no longer than that.
+constexpr absl::Duration DocumentInterval = absl::Milliseconds(200);
 
 } // namespace
 } // namespace internal
@@ -56,8 +62,14 @@
   return Count;
 }
 
-void FeedPublisher::fill(const NodeId &To, Subscriber &State,
-                         const FeedFacts &Facts, FeedUpdate &Update) const {
+bool FeedPublisher::documentDue(Instant Now, const Subscriber &State,
+                                const FeedFacts &Facts) const {
+  return State.m_routingVersion < Facts.m_routingVersion &&
+         Now - State.m_documentSent >= internal::DocumentInterval;
+}
+
+void FeedPublisher::fill(Instant Now, const NodeId &To, Subscriber &State,
+                         const FeedFacts &Facts, FeedUpdate &Update) {
   Update.m_term = Facts.m_term;
   Update.m_leader = Facts.m_leader;
   Update.m_leads = true;
@@ -72,10 +84,16 @@
     if (Sequence > State.m_sequence && State.m_sequence > 0)
       Update.m_removed.push_back(Id);
   Update.m_routingVersion = Facts.m_routingVersion;
-  if (State.m_routingVersion < Facts.m_routingVersion)
-    Update.m_routingDocument = *Facts.m_routingDocument;
+  if (documentDue(Now, State, Facts)) {
+    if (m_packedVersion != Facts.m_routingVersion) {
+      m_packedVersion = Facts.m_routingVersion;
+      m_packedDocument = compress(*Facts.m_routingDocument);
+    }
+    Update.m_routingDocument = m_packedDocument;
+    State.m_documentSent = Now;
+    State.m_routingVersion = Facts.m_routingVersion;
+  }
   State.m_sequence = m_sequence;
-  State.m_routingVersion = Facts.m_routingVersion;
   std::map<TargetId, std::int64_t> Others;
   for (const auto &[Node, Other] : m_subscribers)
     if (Node != To)
@@ -105,7 +123,11 @@
     State.m_uses[Use.m_target] = Use.m_requests;
   m_trafficSeen = m_trafficSeen || Request.m_modelRequests > 0;
   forgetSilent(Now);
-  fill(Request.m_node, State, Facts, Update);
+  fill(Now, Request.m_node, State, Facts, Update);
+  // Without the newest document the answer proves nothing about what is in
+  // force.
+  if (State.m_routingVersion < Facts.m_routingVersion)
+    Update.m_echoMicros = 0;
   Update.m_entries = entries(Now);
   return Update;
 }
@@ -118,11 +140,10 @@
   forgetSilent(Now);
   std::int64_t Entries = entries(Now);
   for (auto &[Node, State] : m_subscribers) {
-    if (State.m_sequence == m_sequence &&
-        State.m_routingVersion >= Facts.m_routingVersion)
+    if (State.m_sequence == m_sequence && !documentDue(Now, State, Facts))
       continue;
     FeedUpdate &Update = Updates[Node];
-    fill(Node, State, Facts, Update);
+    fill(Now, Node, State, Facts, Update);
     Update.m_entries = Entries;
   }
   return Updates;
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
@@ -55,14 +55,18 @@
     std::uint64_t m_routingVersion = 0;
     std::map<TargetId, std::int64_t> m_uses;
     bool m_stopping = false;
+    Instant m_documentSent = absl::InfinitePast();
   };
   struct Published {
     ServingTarget m_target;
     std::uint64_t m_sequence = 0;
   };
 
-  void fill(const NodeId &To, Subscriber &State, const FeedFacts &Facts,
-            FeedUpdate &Update) const;
+  void fill(Instant Now, const NodeId &To, Subscriber &State,
+            const FeedFacts &Facts, FeedUpdate &Update);
+  /// Whether the node should be sent the routing document now.
+  bool documentDue(Instant Now, const Subscriber &State,
+                   const FeedFacts &Facts) const;
   void forgetSilent(Instant Now);
 
   std::uint64_t m_sequence = 0;
@@ -70,6 +74,9 @@
   std::map<TargetId, std::uint64_t> m_removed;
   std::map<NodeId, Subscriber> m_subscribers;
   bool m_trafficSeen = false;
+  /// The routing document of this version, compressed once for all nodes.
+  std::uint64_t m_packedVersion = 0;
+  std::string m_packedDocument;
 };
 
 } // namespace turmericdyke
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -106,20 +106,22 @@
 }
 
 nlohmann::json toJson(const FeedUpdate &Message) {
-  return {{"term", Message.m_term},
-          {"leader", Message.m_leader.str()},
-          {"leads", Message.m_leads},
-          {"coordinators", internal::listJson(Message.m_coordinators)},
-          {"echo_us", Message.m_echoMicros},
-          {"from", Message.m_from},
-          {"sequence", Message.m_sequence},
-          {"complete", Message.m_complete},
-          {"targets", internal::listJson(Message.m_targets)},
-          {"removed", internal::listJson(Message.m_removed)},
-          {"others", internal::listJson(Message.m_othersUse)},
-          {"entries", Message.m_entries},
-          {"routing", Message.m_routingVersion},
-          {"document", Message.m_routingDocument}};
+  return {
+      {"term", Message.m_term},
+      {"leader", Message.m_leader.str()},
+      {"leads", Message.m_leads},
+      {"coordinators", internal::listJson(Message.m_coordinators)},
+      {"echo_us", Message.m_echoMicros},
+      {"from", Message.m_from},
+      {"sequence", Message.m_sequence},
+      {"complete", Message.m_complete},
+      {"targets", internal::listJson(Message.m_targets)},
+      {"removed", internal::listJson(Message.m_removed)},
+      {"others", internal::listJson(Message.m_othersUse)},
+      {"entries", Message.m_entries},
+      {"routing", Message.m_routingVersion},
+      {"document", nlohmann::json::binary({Message.m_routingDocument.begin(),
+                                           Message.m_routingDocument.end()})}};
 }
 
 Result<RosterMessage, FleetError>
@@ -160,10 +162,10 @@
       .flag("complete", Read.m_complete)
       .number("entries", Read.m_entries)
       .number("routing", Read.m_routingVersion);
-  // A text of the reader is short; the document is an operator's whole file.
   auto Document = Value.find("document");
-  if (Document != Value.end() && Document->is_string())
-    Read.m_routingDocument = Document->get<std::string>();
+  if (Document != Value.end() && Document->is_binary())
+    Read.m_routingDocument.assign(Document->get_binary().begin(),
+                                  Document->get_binary().end());
   internal::readList(Reader, "coordinators", Read.m_coordinators);
   internal::readList(Reader, "targets", Read.m_targets);
   internal::readList(Reader, "removed", Read.m_removed);
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -87,7 +87,7 @@
   /// Entry nodes that the leader hears of.
   std::int64_t m_entries = 0;
   std::uint64_t m_routingVersion = 0;
-  /// Set if the receiver has an older version.
+  /// Compressed; set if the receiver has an older version.
   std::string m_routingDocument;
 };
 
