--- a/packages/groups/test/WeightStagerTest.cpp
+++ b/packages/groups/test/WeightStagerTest.cpp
@@ -185,7 +185,7 @@
     ServerAnnouncement Said = D.said(Index);
     Said.m_stagedModels = {"large"};
     Said.m_model = "small";
-    std::uint64_t Epoch = static_cast<std::uint64_t>(7 + Index / 2);
+    std::uint64_t Epoch = 7 + static_cast<std::uint64_t>(Index / 2);
     Said.m_group = GroupMembership{fmt::format("g{}", Epoch), Epoch, Index % 2,
                                    Index % 2 == 0 ? MemberState::Open
                                                   : MemberState::Ready};
--- a/packages/serving/turmericdyke/src/Serving/Placement.cpp
+++ b/packages/serving/turmericdyke/src/Serving/Placement.cpp
@@ -56,6 +56,7 @@
   if (!std::all_of(Indexes.begin(), Indexes.end(), IsQuiet))
     std::erase_if(Indexes, IsQuiet);
   std::vector<Candidate> Candidates;
+  Candidates.reserve(Indexes.size());
   for (std::size_t At : Indexes)
     Candidates.push_back(internal::candidateOf(Options[At]));
   if (Candidates.empty())
