Do not let a report undo what a server announced shortly before

Cause: found by reading. A report may be some hundred ms old; one that was asked for 0.2 s after an announcement could state an earlier group, and the leader would have given up a sound group for a missing member.

Change: a report of a server that was heard within the 500 ms before the question shows only that it lives; inherited servers are unaffected. The test fails without the change.

--- a/packages/fleet/turmericdyke/src/Fleet/ServerAnnouncement.h
+++ b/packages/fleet/turmericdyke/src/Fleet/ServerAnnouncement.h
@@ -44,6 +44,9 @@
 
 /// What a server answers when it is asked for its state.
 struct ServerReport {
+  /// A report may be this old: the platform speaks of some hundred ms.
+  static constexpr absl::Duration MostLag = absl::Milliseconds(500);
+
   std::int64_t m_bornMillis = 0;
   std::vector<std::string> m_stagedModels;
   std::string m_model;
--- a/packages/groups/test/GroupsTest.cpp
+++ b/packages/groups/test/GroupsTest.cpp
@@ -164,6 +164,22 @@
   CHECK(Directory.unconfirmed(Start, absl::Seconds(3)).empty());
 }
 
+// Guards against a group that is given up because a report, which lags, is
+// older than the announcement of the member that it speaks of.
+TEST_CASE("a report does not undo what was announced shortly before it") {
+  ServerDirectory Directory;
+  ServerAnnouncement Joined = said("i", 1, 2);
+  Joined.m_group = GroupMembership{"g", 7, 1, MemberState::Ready};
+  Directory.announce(Start, Joined);
+  Instant Asked = Start + absl::Milliseconds(300);
+  ServerReport Older{1, {}, "", std::nullopt};
+  Directory.reported(Asked, Asked, TargetId("i"), Older);
+  CHECK(Directory.find(TargetId("i"))->m_said.m_group.has_value());
+  Asked += absl::Seconds(2);
+  Directory.reported(Asked, Asked, TargetId("i"), Older);
+  CHECK_FALSE(Directory.find(TargetId("i"))->m_said.m_group.has_value());
+}
+
 // Guards against a new life under an old identifier that is taken for the
 // server that was inherited.
 TEST_CASE("a report of another life confirms nothing") {
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
@@ -161,7 +161,9 @@
     return;
   ServerRecord &Record = Found->second;
   bool SameLife = Record.m_said.m_bornMillis == Report.m_bornMillis;
-  if (!SameLife || (!Record.m_inherited && Record.m_lastHeard >= Asked))
+  bool MayBeOlder = !Record.m_inherited &&
+                    Record.m_lastHeard + ServerReport::MostLag >= Asked;
+  if (!SameLife || MayBeOlder)
     return answered(Now, Id);
   ServerAnnouncement Said = Record.m_said;
   Said.m_stagedModels = Report.m_stagedModels;
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -68,8 +68,9 @@
   void answered(Instant Now, const TargetId &Id);
   void unanswered(const TargetId &Id, bool Refused);
   /// A server answered the question for its state that was sent at `Asked`.
-  /// What it announced since then goes before. A report of another life than
-  /// the known one only shows that somebody has the address.
+  /// What it announced since then, or so shortly before that the report may be
+  /// older, goes before. A report of another life than the known one only shows
+  /// that somebody has the address.
   void reported(Instant Asked, Instant Now, const TargetId &Id,
                 const ServerReport &Report);
   /// Forgets servers that were silent for `SilentFor`, and returns them.
