--- /dev/null
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -0,0 +1,221 @@
+#include "turmericdyke/src/Coordinator/CoordinatorNode.h"
+
+#include <algorithm>
+
+#include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Node/CoreCodec.h"
+#include "turmericdyke/src/Peer/PeerTransport.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+constexpr absl::Duration RosterInterval = absl::Seconds(1);
+constexpr absl::Duration PushDelay = absl::Milliseconds(10);
+/// Shortest time between two messages of a relay to the leader.
+constexpr absl::Duration RelayPause = absl::Milliseconds(20);
+
+} // namespace
+} // namespace internal
+
+void CoordinatorNode::onPeerMessage(const ReceivedMessage &Message) {
+  if (Message.m_kind == PeerMessageKind::FeedRequest)
+    return onFeedRequest(Message);
+  m_roster.heardFrom(monotonicNow(), Message.m_from);
+  switch (Message.m_kind) {
+  case PeerMessageKind::FeedUpdate:
+    return onFeedUpdate(Message);
+  case PeerMessageKind::Roster:
+    return onRoster(Message);
+  case PeerMessageKind::DirectoryUpdate:
+    return onDirectoryUpdate(Message);
+  case PeerMessageKind::AnnouncementBatch:
+    return onAnnouncements(Message);
+  default:
+    return onCoreMessage(Message);
+  }
+}
+
+void CoordinatorNode::onCoreMessage(const ReceivedMessage &Message) {
+  if (!m_core) {
+    if (Message.m_kind == PeerMessageKind::Bootstrap)
+      onBootstrapMessage(Message);
+    return;
+  }
+  Result<CoreMessage, PeerError> Parsed =
+      decodeCoreMessage(Message.m_kind, Message.m_bytes);
+  if (!Parsed) {
+    m_metrics.increment("turmericdyke_peer_messages_refused_total");
+    LogLine(LogLevel::Warning, "peer_message_refused")
+        .field("peer", Message.m_from)
+        .field("reason", Parsed.error().m_message);
+    return;
+  }
+  m_core->onMessage(monotonicNow(), Message.m_from, Parsed.value(), m_random);
+  runCore();
+}
+
+void CoordinatorNode::onRoster(const ReceivedMessage &Message) {
+  Result<RosterMessage, PeerError> Parsed = decodeRoster(Message.m_bytes);
+  if (!Parsed)
+    return m_metrics.increment("turmericdyke_peer_messages_refused_total");
+  for (const NodeId &Node : Parsed.value().m_known)
+    m_roster.discovered(monotonicNow(), Node);
+  if (m_ledTerm == 0)
+    return;
+  // Updates that were lost are sent again from this sequence number.
+  m_directorySent[Message.m_from] = Parsed.value().m_directoryTerm == m_ledTerm
+                                        ? Parsed.value().m_directorySequence
+                                        : 0;
+  sendDirectory(Message.m_from);
+}
+
+void CoordinatorNode::onDirectoryUpdate(const ReceivedMessage &Message) {
+  Result<DirectoryUpdate, PeerError> Parsed =
+      decodeDirectoryUpdate(Message.m_bytes);
+  if (!Parsed)
+    return m_metrics.increment("turmericdyke_peer_messages_refused_total");
+  if (m_directoryCopy.receive(Parsed.value()))
+    m_copyUpdated = monotonicNow();
+}
+
+void CoordinatorNode::onAnnouncements(const ReceivedMessage &Message) {
+  Result<AnnouncementBatch, PeerError> Parsed =
+      decodeAnnouncementBatch(Message.m_bytes);
+  if (!Parsed)
+    return m_metrics.increment("turmericdyke_peer_messages_refused_total");
+  if (!leads() || m_ledTerm != m_core->raft().term())
+    return;
+  Instant Now = monotonicNow();
+  if (Parsed.value().m_term == m_ledTerm)
+    for (const ServerHeard &Heard : Parsed.value().m_unchanged)
+      m_servers.confirm(Now, Heard);
+  for (const ServerAnnouncement &Announcement : Parsed.value().m_changed)
+    accept(Announcement);
+}
+
+void CoordinatorNode::onFeedRequest(const ReceivedMessage &Message) {
+  Instant Now = monotonicNow();
+  Result<FeedRequest, PeerError> Parsed = decodeFeedRequest(Message.m_bytes);
+  if (!Parsed || Parsed.value().m_node != Message.m_from)
+    return m_metrics.increment("turmericdyke_peer_messages_refused_total");
+  const FeedRequest &Request = Parsed.value();
+  if (leads()) {
+    onSuspects(Request.m_suspects);
+    for (const TargetId &Progressing : Request.m_progressing)
+      m_progress[Progressing] = Now;
+  } else {
+    m_feedRelay.collect(Now, Request);
+    if (m_feedRelay.nextRequest() <= Now)
+      tickRelay();
+  }
+  FeedUpdate Update = m_feed.respond(Now, Request, feedContext());
+  // A lost response is requested again.
+  (void)m_transport->sendTo(Message.m_fromAddress, PeerMessageKind::FeedUpdate,
+                            encode(Update));
+}
+
+void CoordinatorNode::onFeedUpdate(const ReceivedMessage &Message) {
+  Result<FeedUpdate, PeerError> Parsed = decodeFeedUpdate(Message.m_bytes);
+  if (!Parsed)
+    return m_metrics.increment("turmericdyke_peer_messages_refused_total");
+  // While this node leads, the publisher holds its own targets.
+  if (m_ledTerm != 0)
+    return;
+  if (m_feedRelay.receive(monotonicNow(), Parsed.value(), m_feed))
+    pushFeed();
+}
+
+void CoordinatorNode::tickRelay() {
+  Instant Now = monotonicNow();
+  m_loop.cancel(m_relayTimer);
+  const NodeId Leader = m_core ? m_core->raft().leader() : NodeId();
+  if (m_ledTerm == 0 && !Leader.empty() && Leader != m_self) {
+    // Lost requests are followed by the next one, lost announcements by the
+    // servers' next ones.
+    (void)m_transport->sendTo(Leader.str(), PeerMessageKind::FeedRequest,
+                              encode(m_feedRelay.request(Now, m_feed)));
+    if (!m_announcementRelay.empty())
+      (void)m_transport->sendTo(Leader.str(),
+                                PeerMessageKind::AnnouncementBatch,
+                                encode(m_announcementRelay.take()));
+  }
+  Instant Next =
+      std::max(m_feedRelay.nextRequest(), Now + internal::RelayPause);
+  m_relayTimer = m_loop.at(Next, [this] { tickRelay(); });
+}
+
+void CoordinatorNode::tickRoster() {
+  Instant Now = monotonicNow();
+  RosterMessage Message;
+  Message.m_known = m_roster.live(Now);
+  Message.m_directoryTerm = m_directoryCopy.term();
+  Message.m_directorySequence = m_directoryCopy.sequence();
+  std::string Bytes = encode(Message);
+  for (const NodeId &Other : m_roster.others())
+    (void)m_transport->sendTo(Other.str(), PeerMessageKind::Roster, Bytes);
+  if (m_core) {
+    std::vector<NodeId> Voters;
+    for (const Voter &Member : m_core->raft().voters().m_voters) {
+      Voters.push_back(Member.m_node);
+      m_roster.discovered(Now, Member.m_node);
+    }
+    m_core->setClusterMembers(m_roster.others(),
+                              m_roster.desiredVoters(Now, Voters));
+    m_roster.expire(Now, Voters);
+  }
+  m_loop.after(internal::RosterInterval, [this] { tickRoster(); });
+}
+
+void CoordinatorNode::sendDirectory(const NodeId &Node) {
+  std::uint64_t &Sent = m_directorySent[Node];
+  DirectoryUpdate Update = m_servers.changesSince(Sent);
+  Update.m_term = m_ledTerm;
+  Update.m_complete = m_settled;
+  Update.m_trafficSeen = m_trafficSeen;
+  Sent = Update.m_sequence;
+  // The receiver reports what it holds once a second, so lost updates are sent
+  // again.
+  (void)m_transport->sendTo(Node.str(), PeerMessageKind::DirectoryUpdate,
+                            encode(Update));
+}
+
+void CoordinatorNode::pushDirectory() {
+  for (const auto &[Node, Sent] : m_directorySent)
+    if (Sent < m_servers.sequence())
+      sendDirectory(Node);
+}
+
+FeedContext CoordinatorNode::feedContext() const {
+  Instant Now = monotonicNow();
+  FeedContext Context;
+  Context.m_coordinators = m_roster.live(Now);
+  if (!m_core)
+    return Context;
+  Context.m_term = m_core->raft().term();
+  Context.m_leader = m_core->raft().leader();
+  Context.m_leads = leads() && m_ledTerm == Context.m_term;
+  Context.m_complete = m_settled && m_planner.leading();
+  Context.m_routingVersion = m_catalog.m_version;
+  Context.m_routingDocument = &m_document;
+  if (m_ledTerm == 0 && !m_stopping && m_feedRelay.isFresh(Now))
+    m_feedRelay.fillContext(Now, Context);
+  return Context;
+}
+
+void CoordinatorNode::pushFeed() {
+  if (m_pushDue)
+    return;
+  m_pushDue = true;
+  m_loop.after(internal::PushDelay, [this] {
+    m_pushDue = false;
+    for (const auto &[Node, Update] :
+         m_feed.pendingUpdates(monotonicNow(), feedContext()))
+      // Lost updates are requested again with the next request.
+      (void)m_transport->sendTo(Node.str(), PeerMessageKind::FeedUpdate,
+                                encode(Update));
+  });
+}
+
+} // namespace turmericdyke
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -13,9 +13,11 @@
 #include "turmericdyke/src/Coordinator/CoordinatorProtocol.h"
 #include "turmericdyke/src/Coordinator/CoordinatorSettings.h"
 #include "turmericdyke/src/Coordinator/ServerCalls.h"
+#include "turmericdyke/src/Feed/AnnouncementRelay.h"
 #include "turmericdyke/src/Feed/CoordinatorRoster.h"
 #include "turmericdyke/src/Feed/DirectoryCopy.h"
 #include "turmericdyke/src/Feed/FeedPublisher.h"
+#include "turmericdyke/src/Feed/FeedRelay.h"
 #include "turmericdyke/src/Groups/ServerDirectory.h"
 #include "turmericdyke/src/Http/HttpServer.h"
 #include "turmericdyke/src/Node/Bootstrap.h"
@@ -32,10 +34,11 @@
   std::string m_message;
 };
 
-/// A node with durable storage. It votes in the replicated log and, while it
-/// leads, keeps the servers' announcements, forms their groups and feeds the
-/// entry nodes. Everything runs on the thread that calls `run`, except the I/O
-/// of the transport between nodes.
+/// A node with durable storage. It votes in the replicated log. While it leads,
+/// it keeps the servers' announcements and forms their groups. While it does
+/// not lead, it relays: it takes announcements for the leader, and passes the
+/// leader's feed on to its part of the entry nodes. Everything runs on the
+/// thread that calls `run`, except the I/O of the transport between nodes.
 class CoordinatorNode {
 public:
   /// `Protocol` must outlive the node.
@@ -61,7 +64,15 @@
   void processOutput(const ControlOutput &Output);
   void sendAll(const std::vector<AddressedMessage> &Messages);
   void onPeerMessage(const ReceivedMessage &Message);
+  void onCoreMessage(const ReceivedMessage &Message);
+  void onRoster(const ReceivedMessage &Message);
+  void onDirectoryUpdate(const ReceivedMessage &Message);
+  void onAnnouncements(const ReceivedMessage &Message);
+  void onFeedRequest(const ReceivedMessage &Message);
+  void onFeedUpdate(const ReceivedMessage &Message);
   void tickRoster();
+  /// Sends the next feed request and the collected announcements to the leader.
+  void tickRelay();
   void applyState();
   bool leads() const;
 
@@ -74,6 +85,13 @@
   void handle(const std::shared_ptr<ServerExchange> &, const WithdrawCall &);
   /// Redirects the caller to the leader, or responds with 503 if there is none.
   void redirect(ServerExchange &Exchange);
+  /// Takes an announcement as leader, and plans if it is news.
+  void accept(const ServerAnnouncement &Announcement);
+  /// Whether this node takes the announcement on behalf of the leader.
+  bool mayRelay(const ServerAnnouncement &Announcement) const;
+  /// The response to an announcement. `Servers` is the number of known servers.
+  HttpResponse announcementResponse(const TargetId &Id,
+                                    std::size_t Servers) const;
   std::string controlAddressOf(const NodeId &Node) const;
   void onMetrics(const std::shared_ptr<ServerExchange> &Exchange);
 
@@ -143,6 +161,7 @@
   /// When each head last sent events, as reported by entry nodes.
   std::map<TargetId, Instant> m_progress;
   EventLoop::Timer m_planTimer;
+  Instant m_planNotBefore = absl::InfinitePast();
   bool m_pushDue = false;
   /// The server list was inherited from the previous leader.
   bool m_inherited = false;
@@ -156,6 +175,9 @@
   NodeId m_knownLeader;
 
   // Valid while another node leads.
+  FeedRelay m_feedRelay;
+  AnnouncementRelay m_announcementRelay;
+  EventLoop::Timer m_relayTimer;
   DirectoryCopy m_directoryCopy;
   Instant m_copyUpdated = absl::InfinitePast();
 
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -165,11 +165,13 @@
 void EntryNode::tickFeed() {
   Instant Now = monotonicNow();
   updateInformed();
-  for (FeedFollower::OutgoingRequest &Outgoing : m_feed->tick(Now)) {
-    for (const auto &[Target, Count] : m_services->m_uses)
-      Outgoing.m_request.m_uses.push_back({Target, Count});
-    // Counts since the last report are sent only once, to the leader.
-    if (Outgoing.m_coordinator == m_feed->leader()) {
+  std::vector<TargetUse> Uses;
+  for (const auto &[Target, Count] : m_services->m_uses)
+    Uses.push_back({Target, Count});
+  for (FeedFollower::OutgoingRequest &Outgoing :
+       m_feed->tick(Now, std::move(Uses))) {
+    // Counts since the last report are sent only once, to the source.
+    if (Outgoing.m_coordinator == m_feed->source()) {
       Outgoing.m_request.m_modelRequests =
           std::exchange(m_services->m_modelRequests, 0);
       Outgoing.m_request.m_suspects = std::exchange(m_suspects, {});
--- a/packages/feed/turmericdyke/src/Feed/DirectoryCopy.cpp
+++ b/packages/feed/turmericdyke/src/Feed/DirectoryCopy.cpp
@@ -30,4 +30,9 @@
   return Copies;
 }
 
+const ServerCopy *DirectoryCopy::find(const TargetId &Id) const {
+  auto Found = m_servers.find(Id);
+  return Found == m_servers.end() ? nullptr : &Found->second;
+}
+
 } // namespace turmericdyke
--- a/packages/feed/turmericdyke/src/Feed/DirectoryCopy.h
+++ b/packages/feed/turmericdyke/src/Feed/DirectoryCopy.h
@@ -22,6 +22,9 @@
   bool complete() const { return m_complete; }
   bool trafficSeen() const { return m_trafficSeen; }
   std::vector<ServerCopy> servers() const;
+  std::size_t size() const { return m_servers.size(); }
+  /// Null if the server is not in the copy.
+  const ServerCopy *find(const TargetId &Id) const;
 
 private:
   std::uint64_t m_term = 0;
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
+#include <utility>
 
 #include "turmericdyke/src/Base/Compression.h"
 
@@ -31,43 +33,74 @@
       m_coordinators.push_back(Seed);
 }
 
-std::vector<FeedFollower::OutgoingRequest> FeedFollower::tick(Instant Now) {
+bool FeedFollower::sourceResponds(Instant Now) const {
+  return Now - std::max(m_lastResponse, m_sourceSince) <
+         m_options.m_responseTimeout;
+}
+
+void FeedFollower::setSource(Instant Now, const NodeId &Source) {
+  if (Source == m_source || Source.empty() ||
+      (Source == m_silentSource && Now < m_avoidUntil))
+    return;
+  m_source = Source;
+  m_sourceSince = Now;
+}
+
+std::vector<FeedFollower::OutgoingRequest>
+FeedFollower::tick(Instant Now, std::vector<TargetUse> Uses) {
   std::vector<OutgoingRequest> Due;
   if (Now < m_nextRequest)
     return Due;
   m_nextRequest = Now + m_options.m_interval;
+  if (m_source != m_leader && !sourceResponds(Now)) {
+    m_silentSource = m_source;
+    m_avoidUntil = Now + m_options.m_avoidSourceFor;
+    setSource(Now, m_leader);
+  }
   FeedRequest Request;
   Request.m_node = m_self;
   Request.m_sentAtMicros = absl::ToUnixMicros(Now);
   Request.m_term = m_term;
   Request.m_sequence = m_sequence;
   Request.m_routingVersion = m_routingVersion;
-  bool LeaderResponds = Now - m_lastResponse < m_options.m_responseTimeout;
-  if (!m_leader.empty())
-    Due.push_back({m_leader, Request});
-  if (m_leader.empty() || !LeaderResponds) {
+  bool Responds = Now - m_lastResponse < m_options.m_responseTimeout;
+  if (!m_source.empty()) {
+    Due.push_back({m_source, Request});
+    m_reportedUses = std::move(Uses);
+    Due.back().m_request.m_uses = m_reportedUses;
+  }
+  if (m_source.empty() || !Responds) {
     m_nextCoordinator = (m_nextCoordinator + 1) % m_coordinators.size();
-    if (m_coordinators[m_nextCoordinator] != m_leader)
+    if (m_coordinators[m_nextCoordinator] != m_source)
       Due.push_back({m_coordinators[m_nextCoordinator], Request});
   }
   return Due;
 }
 
+void FeedFollower::followHint(Instant Now, const FeedUpdate &Update,
+                              FeedChange &Change) {
+  bool Responds = Now - m_lastResponse < m_options.m_responseTimeout;
+  if (Update.m_leader.empty() || Update.m_leader == m_leader ||
+      (Responds && Update.m_term <= m_term))
+    return;
+  m_leader = Update.m_leader;
+  m_nextRequest = Now;
+  Change.m_leaderChanged = true;
+  setSource(Now, m_leader);
+}
+
 FeedChange FeedFollower::receive(Instant Now, const FeedUpdate &Update) {
   FeedChange Change;
   addSeeds(Update.m_coordinators);
   if (Update.m_term < m_term)
     return Change;
-  if (!Update.m_leads) {
-    // Only a hint: followed if no leader responds, or if it points to a newer
+  absl::Duration Age = absl::Microseconds(Update.m_ageMicros);
+  bool Fresh =
+      Update.m_leads || (Update.m_relays && Age <= m_options.m_maxRelayAge);
+  if (!Fresh) {
+    // Only a hint: followed if nobody responds, or if it points to a newer
     // term.
-    bool LeaderResponds = Now - m_lastResponse < m_options.m_responseTimeout;
-    if (!Update.m_leader.empty() && Update.m_leader != m_leader &&
-        (!LeaderResponds || Update.m_term > m_term)) {
-      m_leader = Update.m_leader;
-      m_nextRequest = Now;
-      Change.m_leaderChanged = true;
-    }
+    followHint(Now, Update, Change);
     return Change;
   }
   if (Update.m_term > m_term) {
@@ -78,21 +111,21 @@
   }
   m_leader = Update.m_leader;
   m_lastResponse = Now;
+  setSource(Now, Update.m_source.empty() ? Update.m_leader : Update.m_source);
   m_entries = std::max<std::int64_t>(1, Update.m_entries);
+  // The state was confirmed by the leader no earlier than `Age` before the
+  // relay responded, and the request was sent before that.
   if (Update.m_echoMicros > 0)
     m_leaseUntil =
-        std::max(m_leaseUntil,
-                 absl::FromUnixMicros(Update.m_echoMicros) + m_options.m_lease);
+        std::max(m_leaseUntil, absl::FromUnixMicros(Update.m_echoMicros) - Age +
+                                   m_options.m_lease);
   if (Update.m_routingVersion > m_routingVersion &&
       !Update.m_routingDocument.empty()) {
     Change.m_routingDocument =
         decompress(Update.m_routingDocument, internal::MaxDocumentBytes);
     Change.m_routingVersion = Update.m_routingVersion;
   }
-  m_requestsOfOthers.clear();
-  for (const TargetUse &Use : Update.m_othersUse)
-    m_requestsOfOthers[Use.m_target] = Use.m_requests;
-  m_othersUpdatedAt = Now;
+  applyUses(Now, Update);
   // An update that starts after the held state would leave a gap. The next
   // request states what is held.
   if (Update.m_from <= m_sequence)
@@ -100,9 +133,44 @@
   return Change;
 }
 
+void FeedFollower::applyUses(Instant Now, const FeedUpdate &Update) {
+  Result<std::vector<TargetUse>, FleetError> Uses = decodeUses(Update.m_uses);
+  if (!Uses)
+    return;
+  m_requestsOfOthers.clear();
+  for (const TargetUse &Use : Uses.value())
+    m_requestsOfOthers[Use.m_target] = Use.m_requests;
+  for (const TargetUse &Own : m_reportedUses) {
+    auto Found = m_requestsOfOthers.find(Own.m_target);
+    if (Found != m_requestsOfOthers.end())
+      Found->second = std::max<std::int64_t>(0, Found->second - Own.m_requests);
+  }
+  m_othersUpdatedAt = Now;
+}
+
+void FeedFollower::endTarget(const TargetId &Id, FeedChange &Change) {
+  m_listedInTerm.erase(Id);
+  if (m_targets.erase(Id) > 0)
+    Change.m_ended.push_back(Id);
+}
+
+void FeedFollower::endUnlisted(const FeedUpdate &Update, FeedChange &Change) {
+  std::set<TargetId> Listed;
+  for (const ServingTarget &Target : Update.m_targets)
+    Listed.insert(Target.m_id);
+  std::vector<TargetId> Ended;
+  for (const auto &[Id, Term] : m_listedInTerm)
+    if (Term == Update.m_term && Listed.count(Id) == 0)
+      Ended.push_back(Id);
+  for (const TargetId &Id : Ended)
+    endTarget(Id, Change);
+}
+
 void FeedFollower::applyTargets(const FeedUpdate &Update, FeedChange &Change) {
   if (Update.m_sequence < m_sequence)
     return;
+  if (Update.m_from == 0)
+    endUnlisted(Update, Change);
   for (const ServingTarget &Target : Update.m_targets) {
     ServingTarget &Known = m_targets[Target.m_id];
     if (!(Known == Target)) {
@@ -113,23 +181,19 @@
     }
     m_listedInTerm[Target.m_id] = Update.m_term;
   }
-  for (const TargetId &Removed : Update.m_removed) {
-    m_listedInTerm.erase(Removed);
-    if (m_targets.erase(Removed) > 0)
-      Change.m_ended.push_back(Removed);
-  }
+  for (const TargetId &Removed : Update.m_removed)
+    endTarget(Removed, Change);
   if (Update.m_complete && !m_complete) {
     // The new leader has heard from all live servers, so targets that it never
     // listed have ended.
-    for (auto At = m_targets.begin(); At != m_targets.end();) {
-      auto Listed = m_listedInTerm.find(At->first);
-      if (Listed != m_listedInTerm.end() && Listed->second == Update.m_term) {
-        ++At;
-        continue;
-      }
-      Change.m_ended.push_back(At->first);
-      At = m_targets.erase(At);
+    std::vector<TargetId> Ended;
+    for (const auto &[Id, Target] : m_targets) {
+      auto Listed = m_listedInTerm.find(Id);
+      if (Listed == m_listedInTerm.end() || Listed->second != Update.m_term)
+        Ended.push_back(Id);
     }
+    for (const TargetId &Id : Ended)
+      endTarget(Id, Change);
   }
   m_complete = Update.m_complete;
   m_sequence = Update.m_sequence;
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -13,11 +13,15 @@
 namespace turmericdyke {
 
 struct FeedFollowerOptions {
-  /// Interval between requests to the leader. Knowledge of the other entry
-  /// nodes' load is at most this old.
+  /// Interval between requests to the source of the feed. Knowledge of the
+  /// other entry nodes' load is at most this old.
   absl::Duration m_interval = absl::Milliseconds(250);
   /// After this time without a response, another coordinator is asked as well.
   absl::Duration m_responseTimeout = absl::Milliseconds(700);
+  /// A source that did not respond is not used again for this long.
+  absl::Duration m_avoidSourceFor = absl::Seconds(5);
+  /// A relay whose own knowledge is older than this counts as silent.
+  absl::Duration m_maxRelayAge = absl::Milliseconds(700);
   /// How long a response proves that no newer routing document is in force,
   /// counted from sending the request. A revoked key may be accepted for at
   /// most this long, so it stays below the platform's limit of 5 s.
@@ -38,7 +42,8 @@
 };
 
 /// The entry node's side of the feed: selects the coordinators to ask, and
-/// tracks the received state and how long it may be relied on.
+/// tracks the received state and how long it may be relied on. The state comes
+/// from the leader, or from a coordinator that relays the leader's state.
 class FeedFollower {
 public:
   /// `Seeds` are the addresses of coordinators, which are also their
@@ -50,9 +55,11 @@
     NodeId m_coordinator;
     FeedRequest m_request;
   };
-  /// Returns the requests that are due: one to the leader and, if no leader
-  /// responds, one to another coordinator.
-  std::vector<OutgoingRequest> tick(Instant Now);
+  /// Returns the requests that are due: one to the source and, if it does not
+  /// respond, one to another coordinator. `Uses` are this node's requests at
+  /// each target; they are reported to the source only.
+  std::vector<OutgoingRequest> tick(Instant Now,
+                                    std::vector<TargetUse> Uses = {});
   Instant nextTick() const { return m_nextRequest; }
   /// Makes a request due at once.
   void requestNow(Instant Now) { m_nextRequest = std::min(m_nextRequest, Now); }
@@ -67,6 +74,8 @@
   Instant leaseUntil() const { return m_leaseUntil; }
   std::uint64_t term() const { return m_term; }
   const NodeId &leader() const { return m_leader; }
+  /// The coordinator that requests are sent to; empty if none is known.
+  const NodeId &source() const { return m_source; }
   std::int64_t entryNodes() const { return m_entries; }
   const std::map<TargetId, ServingTarget> &targets() const { return m_targets; }
   /// Requests of the other entry nodes at a target, and when they were last
@@ -75,13 +84,24 @@
   Instant othersUpdatedAt() const { return m_othersUpdatedAt; }
 
 private:
+  bool sourceResponds(Instant Now) const;
+  void setSource(Instant Now, const NodeId &Source);
+  void followHint(Instant Now, const FeedUpdate &Update, FeedChange &Change);
   void applyTargets(const FeedUpdate &Update, FeedChange &Change);
+  void applyUses(Instant Now, const FeedUpdate &Update);
+  /// Ends the targets of this term that a full list does not contain.
+  void endUnlisted(const FeedUpdate &Update, FeedChange &Change);
+  void endTarget(const TargetId &Id, FeedChange &Change);
 
   NodeId m_self;
   FeedFollowerOptions m_options;
   std::vector<NodeId> m_coordinators;
   std::size_t m_nextCoordinator = 0;
   NodeId m_leader;
+  NodeId m_source;
+  Instant m_sourceSince = absl::InfinitePast();
+  NodeId m_silentSource;
+  Instant m_avoidUntil = absl::InfinitePast();
   std::uint64_t m_term = 0;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_routingVersion = 0;
@@ -89,6 +109,9 @@
   std::map<TargetId, ServingTarget> m_targets;
   /// For each target, the term in which a leader last listed it.
   std::map<TargetId, std::uint64_t> m_listedInTerm;
+  /// What this node reported last, and what all nodes have at each target, this
+  /// node's reported requests excluded.
+  std::vector<TargetUse> m_reportedUses;
   std::map<TargetId, std::int64_t> m_requestsOfOthers;
   Instant m_othersUpdatedAt = absl::InfinitePast();
   std::int64_t m_entries = 1;
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -1,8 +1,10 @@
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 
+#include <algorithm>
 #include <set>
 
 #include "turmericdyke/src/Base/Compression.h"
+#include "turmericdyke/src/Feed/FeedAssignment.h"
 
 namespace turmericdyke {
 
@@ -15,6 +17,13 @@
 /// that rapid changes do not fill the leader's link. Nodes ask every 250 ms,
 /// which bounds the delay of the last change.
 constexpr absl::Duration DocumentInterval = absl::Milliseconds(200);
+/// Sums of uses are encoded again after this time; entry nodes ask every 250
+/// ms.
+constexpr absl::Duration UsesInterval = absl::Milliseconds(25);
+/// Silent nodes are looked for at this interval.
+constexpr absl::Duration SilentCheckInterval = absl::Milliseconds(100);
+/// Removed targets that are remembered. A release replaces a few hundred.
+constexpr std::size_t MaxRemovals = 1024;
 
 } // namespace
 } // namespace internal
@@ -34,73 +43,173 @@
     m_removed.erase(Target.m_id);
     Changed = true;
   }
-  for (auto At = m_targets.begin(); At != m_targets.end();) {
-    if (Present.count(At->first) > 0) {
-      ++At;
-      continue;
-    }
-    m_removed[At->first] = Next;
-    At = m_targets.erase(At);
-    Changed = true;
-  }
-  if (Changed)
+  std::vector<TargetId> Ended;
+  for (const auto &[Id, Entry] : m_targets)
+    if (Present.count(Id) == 0)
+      Ended.push_back(Id);
+  for (const TargetId &Id : Ended)
+    removeTarget(Id, Next);
+  if (Changed || !Ended.empty())
     m_sequence = Next;
+  limitRemovals();
+}
+
+void FeedPublisher::removeTarget(const TargetId &Id, std::uint64_t Sequence) {
+  m_targets.erase(Id);
+  m_removed[Id] = Sequence;
+}
+
+void FeedPublisher::limitRemovals() {
+  if (m_removed.size() <= internal::MaxRemovals)
+    return;
+  std::vector<std::uint64_t> Sequences;
+  for (const auto &[Id, Sequence] : m_removed)
+    Sequences.push_back(Sequence);
+  auto Middle =
+      Sequences.begin() + static_cast<std::ptrdiff_t>(Sequences.size() / 2);
+  std::nth_element(Sequences.begin(), Middle, Sequences.end());
+  m_completeSince = std::max(m_completeSince, *Middle);
+  std::erase_if(m_removed, [this](const auto &Entry) {
+    return Entry.second <= m_completeSince;
+  });
+}
+
+bool FeedPublisher::mirror(const FeedUpdate &Update) {
+  bool NewTerm = Update.m_term != m_mirroredTerm;
+  if (Update.m_term < m_mirroredTerm ||
+      Update.m_from > (NewTerm ? 0 : m_sequence) ||
+      (!NewTerm && Update.m_sequence <= m_sequence))
+    return false;
+  if (NewTerm || Update.m_from == 0) {
+    m_targets.clear();
+    m_removed.clear();
+    m_completeSince = Update.m_sequence;
+  }
+  if (NewTerm)
+    for (auto &[Node, State] : m_subscribers)
+      State.m_sequence = 0;
+  m_mirroredTerm = Update.m_term;
+  for (const ServingTarget &Target : Update.m_targets) {
+    m_targets[Target.m_id] = {Target, Update.m_sequence};
+    m_removed.erase(Target.m_id);
+  }
+  for (const TargetId &Id : Update.m_removed)
+    removeTarget(Id, Update.m_sequence);
+  m_sequence = Update.m_sequence;
+  limitRemovals();
+  return true;
+}
+
+void FeedPublisher::addUses(const std::vector<TargetUse> &Uses,
+                            std::int64_t Sign) {
+  for (const TargetUse &Use : Uses) {
+    std::int64_t &Sum = m_uses[Use.m_target];
+    Sum += Sign * Use.m_requests;
+    if (Sum == 0)
+      m_uses.erase(Use.m_target);
+  }
+}
+
+void FeedPublisher::setUses(Subscriber &State, std::vector<TargetUse> Uses) {
+  addUses(State.m_uses, -1);
+  State.m_uses = std::move(Uses);
+  addUses(State.m_uses, 1);
 }
 
 void FeedPublisher::removeSilent(Instant Now) {
-  std::erase_if(m_subscribers, [Now](const auto &Entry) {
+  if (Now - m_silentRemovedAt < internal::SilentCheckInterval)
+    return;
+  m_silentRemovedAt = Now;
+  auto IsSilent = [Now](const auto &Entry) {
     return Now - Entry.second.m_lastHeard >= internal::SubscriberTimeout;
-  });
+  };
+  for (auto &Entry : m_subscribers)
+    if (IsSilent(Entry))
+      setUses(Entry.second, {});
+  std::erase_if(m_subscribers, IsSilent);
 }
 
 std::int64_t FeedPublisher::entryNodes(Instant Now) const {
   std::int64_t Count = 0;
   for (const auto &[Node, State] : m_subscribers)
-    if (!State.m_stopping &&
-        Now - State.m_lastHeard < internal::SubscriberTimeout)
-      ++Count;
+    if (Now - State.m_lastHeard < internal::SubscriberTimeout)
+      Count += State.m_entries;
   return Count;
 }
 
 bool FeedPublisher::documentDue(Instant Now, const Subscriber &State,
                                 const FeedContext &Context) const {
-  return State.m_routingVersion < Context.m_routingVersion &&
+  // A relay reads the document from the replicated log.
+  return !State.m_relay && State.m_routingVersion < Context.m_routingVersion &&
          Now - State.m_documentSent >= internal::DocumentInterval;
 }
 
+const std::string &
+FeedPublisher::compressedDocument(const FeedContext &Context) {
+  if (m_compressedVersion != Context.m_routingVersion) {
+    m_compressedVersion = Context.m_routingVersion;
+    m_compressedDocument = compress(*Context.m_routingDocument);
+  }
+  return m_compressedDocument;
+}
+
+const std::string &FeedPublisher::encodedUses(Instant Now,
+                                              const FeedContext &Context) {
+  if (Now - m_usesEncodedAt < internal::UsesInterval)
+    return m_encodedUses;
+  m_usesEncodedAt = Now;
+  std::map<TargetId, std::int64_t> Sums = m_uses;
+  if (Context.m_usesElsewhere != nullptr)
+    for (const auto &[Target, Requests] : *Context.m_usesElsewhere)
+      Sums[Target] += Requests;
+  std::vector<TargetUse> Uses;
+  Uses.reserve(Sums.size());
+  for (const auto &[Target, Requests] : Sums)
+    Uses.push_back({Target, Requests});
+  m_encodedUses = encodeUses(Uses);
+  return m_encodedUses;
+}
+
+void FeedPublisher::fillTargets(const Subscriber &State,
+                                FeedUpdate &Update) const {
+  std::uint64_t From =
+      State.m_sequence < m_completeSince ? 0 : State.m_sequence;
+  Update.m_from = From;
+  Update.m_sequence = m_sequence;
+  if (State.m_sequence == m_sequence)
+    return;
+  for (const auto &[Id, Entry] : m_targets)
+    if (Entry.m_sequence > From)
+      Update.m_targets.push_back(Entry.m_target);
+  for (const auto &[Id, Sequence] : m_removed)
+    if (Sequence > From && From > 0)
+      Update.m_removed.push_back(Id);
+}
+
 void FeedPublisher::fillUpdate(Instant Now, const NodeId &To, Subscriber &State,
                                const FeedContext &Context, FeedUpdate &Update) {
   Update.m_term = Context.m_term;
   Update.m_leader = Context.m_leader;
-  Update.m_leads = true;
+  Update.m_leads = Context.m_leads;
+  Update.m_relays = Context.m_relays;
+  Update.m_ageMicros = absl::ToInt64Microseconds(Context.m_age);
   Update.m_complete = Context.m_complete;
   Update.m_coordinators = Context.m_coordinators;
-  Update.m_from = State.m_sequence;
-  Update.m_sequence = m_sequence;
-  for (const auto &[Id, Entry] : m_targets)
-    if (Entry.m_sequence > State.m_sequence)
-      Update.m_targets.push_back(Entry.m_target);
-  for (const auto &[Id, Sequence] : m_removed)
-    if (Sequence > State.m_sequence && State.m_sequence > 0)
-      Update.m_removed.push_back(Id);
+  Update.m_entries = Context.m_relays ? Context.m_entries : entryNodes(Now);
+  Update.m_source =
+      State.m_relay
+          ? Context.m_leader
+          : assignedCoordinator(To.str(), Update.m_entries, Context.m_leader,
+                                Context.m_coordinators);
+  fillTargets(State, Update);
   Update.m_routingVersion = Context.m_routingVersion;
   if (documentDue(Now, State, Context)) {
-    if (m_compressedVersion != Context.m_routingVersion) {
-      m_compressedVersion = Context.m_routingVersion;
-      m_compressedDocument = compress(*Context.m_routingDocument);
-    }
-    Update.m_routingDocument = m_compressedDocument;
+    Update.m_routingDocument = compressedDocument(Context);
     State.m_documentSent = Now;
     State.m_routingVersion = Context.m_routingVersion;
   }
-  State.m_sequence = m_sequence;
-  std::map<TargetId, std::int64_t> Others;
-  for (const auto &[Node, Other] : m_subscribers)
-    if (Node != To)
-      for (const auto &[Target, Requests] : Other.m_uses)
-        Others[Target] += Requests;
-  for (const auto &[Target, Requests] : Others)
-    Update.m_othersUse.push_back({Target, Requests});
+  State.m_sequence = std::max(State.m_sequence, m_sequence);
+  Update.m_uses = encodedUses(Now, Context);
 }
 
 FeedUpdate FeedPublisher::respond(Instant Now, const FeedRequest &Request,
@@ -110,42 +219,38 @@
   Update.m_coordinators = Context.m_coordinators;
   Update.m_term = Context.m_term;
   Update.m_leader = Context.m_leader;
-  if (!Context.m_leads)
+  if (!Context.m_leads && !Context.m_relays)
     return Update;
   Subscriber &State = m_subscribers[Request.m_node];
   State.m_lastHeard = Now;
-  State.m_stopping = Request.m_stopping;
+  State.m_relay = Request.m_relay;
+  State.m_entries = Request.m_relay
+                        ? std::max<std::int64_t>(0, Request.m_entries)
+                        : (Request.m_stopping ? 0 : 1);
   State.m_routingVersion = Request.m_routingVersion;
   // The sequence numbers of a node that follows another term are meaningless in
   // this one.
   State.m_sequence = Request.m_term == Context.m_term ? Request.m_sequence : 0;
-  State.m_uses.clear();
-  for (const TargetUse &Use : Request.m_uses)
-    State.m_uses[Use.m_target] = Use.m_requests;
+  setUses(State, Request.m_uses);
   m_trafficSeen = m_trafficSeen || Request.m_modelRequests > 0;
   removeSilent(Now);
   fillUpdate(Now, Request.m_node, State, Context, Update);
   // Without the newest document, the response must not extend the node's lease.
-  if (State.m_routingVersion < Context.m_routingVersion)
+  if (!Context.m_routingConfirmed ||
+      (!State.m_relay && State.m_routingVersion < Context.m_routingVersion))
     Update.m_echoMicros = 0;
-  Update.m_entries = entryNodes(Now);
   return Update;
 }
 
 std::map<NodeId, FeedUpdate>
 FeedPublisher::pendingUpdates(Instant Now, const FeedContext &Context) {
   std::map<NodeId, FeedUpdate> Updates;
-  if (!Context.m_leads)
+  if (!Context.m_leads && !Context.m_relays)
     return Updates;
   removeSilent(Now);
-  std::int64_t Entries = entryNodes(Now);
-  for (auto &[Node, State] : m_subscribers) {
-    if (State.m_sequence == m_sequence && !documentDue(Now, State, Context))
-      continue;
-    FeedUpdate &Update = Updates[Node];
-    fillUpdate(Now, Node, State, Context, Update);
-    Update.m_entries = Entries;
-  }
+  for (auto &[Node, State] : m_subscribers)
+    if (State.m_sequence < m_sequence || documentDue(Now, State, Context))
+      fillUpdate(Now, Node, State, Context, Updates[Node]);
   return Updates;
 }
 
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
@@ -17,26 +17,53 @@
   NodeId m_leader;
   /// This coordinator is the leader and holds the leader lease.
   bool m_leads = false;
+  /// This coordinator passes on the leader's state, which it last confirmed
+  /// `m_age` ago.
+  bool m_relays = false;
+  absl::Duration m_age = absl::ZeroDuration();
   /// Every live server has had time to announce itself to this leader.
   bool m_complete = false;
   std::uint64_t m_routingVersion = 0;
+  /// No newer routing document was in force `m_age` ago.
+  bool m_routingConfirmed = true;
   const std::string *m_routingDocument = nullptr;
   std::vector<NodeId> m_coordinators;
+  /// Number of entry nodes of the whole system, as reported by the leader; set
+  /// for a relay.
+  std::int64_t m_entries = 0;
+  /// Requests at each target of the entry nodes that other coordinators serve;
+  /// set for a relay.
+  const std::map<TargetId, std::int64_t> *m_usesElsewhere = nullptr;
 };
 
 /// Sends entry nodes the state they need to serve: the targets, the routing
-/// document, and the load of the other entry nodes. Each node receives only
-/// what changed since the state it holds. Silent nodes are removed.
+/// document, and the load of all entry nodes. Each node receives only what
+/// changed since the state it holds. Silent nodes are removed.
+///
+/// The leader sets the targets and numbers their changes. A relay mirrors the
+/// leader's updates under the same numbers, so an entry node can move from one
+/// coordinator to another without a gap and without a step back. The cost of a
+/// response does not grow with the number of entry nodes: uses are kept as
+/// running sums and encoded once for all receivers.
 class FeedPublisher {
 public:
-  /// Starts a term of leadership: sequence numbers restart and all entry nodes
-  /// are removed.
+  /// Starts a term: sequence numbers restart and all entry nodes are removed.
   void reset();
 
   /// Replaces the list of targets and assigns a new sequence number to what
   /// changed.
   void setTargets(absl::Span<const ServingTarget> Targets);
 
+  /// Takes over the targets of an update from the leader. Returns whether
+  /// anything changed. An update that does not continue the held state is
+  /// ignored.
+  bool mirror(const FeedUpdate &Update);
+
+  /// Number of the newest change of the targets.
+  std::uint64_t sequence() const { return m_sequence; }
+  /// Requests of this coordinator's entry nodes at each target.
+  const std::map<TargetId, std::int64_t> &uses() const { return m_uses; }
+
   /// Returns the response to a request.
   FeedUpdate respond(Instant Now, const FeedRequest &Request,
                      const FeedContext &Context);
@@ -44,7 +71,8 @@
   std::map<NodeId, FeedUpdate> pendingUpdates(Instant Now,
                                               const FeedContext &Context);
 
-  /// Number of entry nodes heard from lately that are not stopping.
+  /// Number of entry nodes heard from lately that are not stopping, those that
+  /// relays have reported included.
   std::int64_t entryNodes(Instant Now) const;
   /// Whether a request for a model has run since the term began.
   bool trafficSeen() const { return m_trafficSeen; }
@@ -54,8 +82,10 @@
     Instant m_lastHeard;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_routingVersion = 0;
-    std::map<TargetId, std::int64_t> m_uses;
-    bool m_stopping = false;
+    std::vector<TargetUse> m_uses;
+    /// Entry nodes that the subscriber stands for: one, or those of a relay.
+    std::int64_t m_entries = 1;
+    bool m_relay = false;
     Instant m_documentSent = absl::InfinitePast();
   };
   struct Published {
@@ -65,15 +95,32 @@
 
   void fillUpdate(Instant Now, const NodeId &To, Subscriber &State,
                   const FeedContext &Context, FeedUpdate &Update);
+  void fillTargets(const Subscriber &State, FeedUpdate &Update) const;
   /// Whether the routing document is due for the node.
   bool documentDue(Instant Now, const Subscriber &State,
                    const FeedContext &Context) const;
+  const std::string &compressedDocument(const FeedContext &Context);
+  /// The encoded sums of all uses, at most a few milliseconds old.
+  const std::string &encodedUses(Instant Now, const FeedContext &Context);
+  void setUses(Subscriber &State, std::vector<TargetUse> Uses);
+  void addUses(const std::vector<TargetUse> &Uses, std::int64_t Sign);
   void removeSilent(Instant Now);
+  void removeTarget(const TargetId &Id, std::uint64_t Sequence);
+  /// Forgets old removals. Nodes that hold an older state get all targets.
+  void limitRemovals();
 
   std::uint64_t m_sequence = 0;
+  /// Removals before this sequence number are not known here. A node that holds
+  /// an older state is sent all targets.
+  std::uint64_t m_completeSince = 0;
+  std::uint64_t m_mirroredTerm = 0;
   std::map<TargetId, Published> m_targets;
   std::map<TargetId, std::uint64_t> m_removed;
   std::map<NodeId, Subscriber> m_subscribers;
+  std::map<TargetId, std::int64_t> m_uses;
+  std::string m_encodedUses;
+  Instant m_usesEncodedAt = absl::InfinitePast();
+  Instant m_silentRemovedAt = absl::InfinitePast();
   bool m_trafficSeen = false;
   /// The compressed routing document of this version, shared by all nodes.
   std::uint64_t m_compressedVersion = 0;
--- /dev/null
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
@@ -0,0 +1,108 @@
+#include "turmericdyke/src/Feed/FeedRelay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "turmericdyke/src/Feed/FeedPublisher.h"
+
+namespace turmericdyke {
+
+namespace internal {
+namespace {
+
+void mergeInto(std::vector<TargetId> &All, const std::vector<TargetId> &More) {
+  All.insert(All.end(), More.begin(), More.end());
+  std::sort(All.begin(), All.end());
+  All.erase(std::unique(All.begin(), All.end()), All.end());
+}
+
+} // namespace
+} // namespace internal
+
+FeedRelay::FeedRelay(NodeId Self, FeedRelayOptions Options)
+    : m_self(std::move(Self)), m_options(Options) {}
+
+void FeedRelay::reset() { *this = FeedRelay(m_self, m_options); }
+
+void FeedRelay::requestNow(Instant Now) {
+  m_nextRequest = std::min(m_nextRequest, Now);
+}
+
+FeedRequest FeedRelay::request(Instant Now, const FeedPublisher &Publisher) {
+  m_nextRequest = Now + m_options.m_interval;
+  FeedRequest Request;
+  Request.m_node = m_self;
+  Request.m_relay = true;
+  Request.m_entries = Publisher.entryNodes(Now);
+  Request.m_sentAtMicros = absl::ToUnixMicros(Now);
+  Request.m_term = m_term;
+  Request.m_sequence = m_term == 0 ? 0 : Publisher.sequence();
+  Request.m_modelRequests = std::exchange(m_modelRequests, 0);
+  Request.m_suspects = std::exchange(m_suspects, {});
+  Request.m_progressing = std::exchange(m_progressing, {});
+  m_reportedUses.clear();
+  for (const auto &[Target, Requests] : Publisher.uses())
+    m_reportedUses.push_back({Target, Requests});
+  Request.m_uses = m_reportedUses;
+  return Request;
+}
+
+void FeedRelay::collect(Instant Now, const FeedRequest &Request) {
+  m_modelRequests += Request.m_modelRequests;
+  internal::mergeInto(m_suspects, Request.m_suspects);
+  internal::mergeInto(m_progressing, Request.m_progressing);
+  if (!Request.m_suspects.empty())
+    requestNow(Now);
+}
+
+bool FeedRelay::receive(Instant Now, const FeedUpdate &Update,
+                        FeedPublisher &Publisher) {
+  if (!Update.m_leads || Update.m_term < m_term)
+    return false;
+  if (Update.m_term > m_term)
+    m_confirmed = absl::InfinitePast();
+  m_term = Update.m_term;
+  m_leader = Update.m_leader;
+  m_coordinators = Update.m_coordinators;
+  m_entries = Update.m_entries;
+  bool Completed = Update.m_complete && !m_complete;
+  m_complete = Update.m_complete;
+  if (Update.m_echoMicros > 0) {
+    m_confirmed =
+        std::max(m_confirmed, absl::FromUnixMicros(Update.m_echoMicros));
+    m_confirmedRouting = std::max(m_confirmedRouting, Update.m_routingVersion);
+  }
+  Result<std::vector<TargetUse>, FleetError> Uses = decodeUses(Update.m_uses);
+  if (Uses) {
+    m_usesElsewhere.clear();
+    for (const TargetUse &Use : Uses.value())
+      m_usesElsewhere[Use.m_target] = Use.m_requests;
+    for (const TargetUse &Own : m_reportedUses) {
+      std::int64_t &Elsewhere = m_usesElsewhere[Own.m_target];
+      Elsewhere = std::max<std::int64_t>(0, Elsewhere - Own.m_requests);
+    }
+  }
+  bool Behind = Update.m_sequence > Publisher.sequence();
+  bool Changed = Publisher.mirror(Update);
+  if (Behind && !Changed)
+    requestNow(Now);
+  return Changed || Completed;
+}
+
+bool FeedRelay::isFresh(Instant Now) const {
+  return m_term > 0 && Now - m_confirmed <= m_options.m_maxAge;
+}
+
+void FeedRelay::fillContext(Instant Now, FeedContext &Context) const {
+  Context.m_term = m_term;
+  Context.m_leader = m_leader;
+  Context.m_complete = m_complete;
+  Context.m_relays = true;
+  Context.m_age = Now - m_confirmed;
+  Context.m_coordinators = m_coordinators;
+  Context.m_entries = m_entries;
+  Context.m_usesElsewhere = &m_usesElsewhere;
+  Context.m_routingConfirmed = Context.m_routingVersion >= m_confirmedRouting;
+}
+
+} // namespace turmericdyke
--- a/packages/fleet/turmericdyke/src/Fleet/DirectoryMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/DirectoryMessage.cpp
@@ -15,8 +15,7 @@
 constexpr std::string_view StateNames[] = {"joining", "ready", "open",
                                            "closing", "broken"};
 
-Json serverCopyJson(const ServerCopy &Copy) {
-  const ServerAnnouncement &Announcement = Copy.m_announcement;
+Json announcementJson(const ServerAnnouncement &Announcement) {
   Json Value = {{"id", Announcement.m_id.str()},
                 {"service", Announcement.m_service.str()},
                 {"address", Announcement.m_address},
@@ -27,8 +26,7 @@
                 {"born_ms", Announcement.m_startMillis},
                 {"sequence", Announcement.m_sequence},
                 {"staged", Announcement.m_stagedModels},
-                {"model", Announcement.m_model},
-                {"in_memory", Copy.m_modelInMemory}};
+                {"model", Announcement.m_model}};
   if (Announcement.m_group)
     Value["group"] = {{"name", Announcement.m_group->m_group},
                       {"epoch", Announcement.m_group->m_epoch},
@@ -37,6 +35,29 @@
   return Value;
 }
 
+Json serverCopyJson(const ServerCopy &Copy) {
+  Json Value = announcementJson(Copy.m_announcement);
+  Value["in_memory"] = Copy.m_modelInMemory;
+  return Value;
+}
+
+Json heardJson(const ServerHeard &Heard) {
+  return {{"id", Heard.m_id.str()},
+          {"born_ms", Heard.m_startMillis},
+          {"sequence", Heard.m_sequence}};
+}
+
+ServerHeard readHeard(const Json &Value, JsonReader &Outer) {
+  ServerHeard Read;
+  JsonReader Reader(Value);
+  Reader.id("id", Read.m_id, true)
+      .number("born_ms", Read.m_startMillis)
+      .number("sequence", Read.m_sequence);
+  if (Reader.error())
+    Outer.fail("unchanged", *Reader.error());
+  return Read;
+}
+
 void readStrings(JsonReader &Reader, const char *Field,
                  std::vector<std::string> &Strings) {
   const Json *List = Reader.list(Field);
@@ -91,6 +112,35 @@
 } // namespace
 } // namespace internal
 
+nlohmann::json toJson(const AnnouncementBatch &Message) {
+  internal::Json Changed = internal::Json::array();
+  for (const ServerAnnouncement &Announcement : Message.m_changed)
+    Changed.push_back(internal::announcementJson(Announcement));
+  internal::Json Unchanged = internal::Json::array();
+  for (const ServerHeard &Heard : Message.m_unchanged)
+    Unchanged.push_back(internal::heardJson(Heard));
+  return {{"term", Message.m_term},
+          {"changed", std::move(Changed)},
+          {"unchanged", std::move(Unchanged)}};
+}
+
+Result<AnnouncementBatch, FleetError>
+parseAnnouncementBatch(const nlohmann::json &Value) {
+  AnnouncementBatch Read;
+  internal::JsonReader Reader(Value);
+  Reader.number("term", Read.m_term);
+  if (const nlohmann::json *Changed = Reader.list("changed"))
+    for (const nlohmann::json &Entry : *Changed)
+      Read.m_changed.push_back(
+          internal::readServerCopy(Entry, Reader).m_announcement);
+  if (const nlohmann::json *Unchanged = Reader.list("unchanged"))
+    for (const nlohmann::json &Entry : *Unchanged)
+      Read.m_unchanged.push_back(internal::readHeard(Entry, Reader));
+  if (Reader.error())
+    return failure(*Reader.error());
+  return Read;
+}
+
 nlohmann::json toJson(const DirectoryUpdate &Message) {
   internal::Json Servers = internal::Json::array();
   for (const ServerCopy &Copy : Message.m_servers)
--- a/packages/fleet/turmericdyke/src/Fleet/DirectoryMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/DirectoryMessage.h
@@ -40,11 +40,30 @@
   std::vector<TargetId> m_removed;
 };
 
+/// A server announced itself without a change of its state.
+struct ServerHeard {
+  TargetId m_id;
+  std::int64_t m_startMillis = 0;
+  std::uint64_t m_sequence = 0;
+};
+
+/// Sent by a coordinator to the leader: the announcements that it has received
+/// since the last message.
+struct AnnouncementBatch {
+  /// The term of the leader whose directory `m_unchanged` was compared with.
+  std::uint64_t m_term = 0;
+  std::vector<ServerAnnouncement> m_changed;
+  std::vector<ServerHeard> m_unchanged;
+};
+
 nlohmann::json toJson(const DirectoryUpdate &Message);
+nlohmann::json toJson(const AnnouncementBatch &Message);
 
 /// Reads the message. Unknown fields are ignored; wrong types, missing names
 /// and lists of more than 1024 entries are errors.
 Result<DirectoryUpdate, FleetError>
 parseDirectoryUpdate(const nlohmann::json &Value);
+Result<AnnouncementBatch, FleetError>
+parseAnnouncementBatch(const nlohmann::json &Value);
 
 } // namespace turmericdyke
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -76,6 +76,16 @@
   }
 }
 
+Json binaryJson(std::string_view Bytes) {
+  return Json::binary({Bytes.begin(), Bytes.end()});
+}
+
+void readBinary(const Json &Value, const char *Field, std::string &Bytes) {
+  auto Found = Value.find(Field);
+  if (Found != Value.end() && Found->is_binary())
+    Bytes.assign(Found->get_binary().begin(), Found->get_binary().end());
+}
+
 template <class Message>
 Result<Message, FleetError> makeResult(const JsonReader &Reader,
                                        Message &Read) {
@@ -87,6 +97,36 @@
 } // namespace
 } // namespace internal
 
+std::string encodeUses(absl::Span<const TargetUse> Uses) {
+  // Names and numbers alternate in one flat list.
+  internal::Json List = internal::Json::array();
+  for (const TargetUse &Use : Uses) {
+    List.push_back(Use.m_target.str());
+    List.push_back(Use.m_requests);
+  }
+  std::string Bytes;
+  internal::Json::to_cbor(List, Bytes);
+  return Bytes;
+}
+
+Result<std::vector<TargetUse>, FleetError> decodeUses(std::string_view Bytes) {
+  std::vector<TargetUse> Uses;
+  if (Bytes.empty())
+    return Uses;
+  internal::Json List =
+      internal::Json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
+  if (!List.is_array() || List.size() % 2 != 0 ||
+      List.size() > 2 * internal::MaxFeedEntries)
+    return failure(FleetError{"/uses", "is not a list of names and numbers"});
+  for (std::size_t At = 0; At < List.size(); At += 2) {
+    if (!List[At].is_string() || !List[At + 1].is_number_integer())
+      return failure(FleetError{"/uses", "holds no pair of name and number"});
+    Uses.push_back({TargetId(List[At].get<std::string>()),
+                    List[At + 1].get<std::int64_t>()});
+  }
+  return Uses;
+}
+
 nlohmann::json toJson(const RosterMessage &Message) {
   return {{"known", internal::listJson(Message.m_known)},
           {"directory_term", Message.m_directoryTerm},
@@ -95,6 +135,8 @@
 
 nlohmann::json toJson(const FeedRequest &Message) {
   return {{"node", Message.m_node.str()},
+          {"relay", Message.m_relay},
+          {"entries", Message.m_entries},
           {"sent_us", Message.m_sentAtMicros},
           {"term", Message.m_term},
           {"sequence", Message.m_sequence},
@@ -107,22 +149,23 @@
 }
 
 nlohmann::json toJson(const FeedUpdate &Message) {
-  return {
-      {"term", Message.m_term},
-      {"leader", Message.m_leader.str()},
-      {"leads", Message.m_leads},
-      {"coordinators", internal::listJson(Message.m_coordinators)},
-      {"echo_us", Message.m_echoMicros},
-      {"from", Message.m_from},
-      {"sequence", Message.m_sequence},
-      {"complete", Message.m_complete},
-      {"targets", internal::listJson(Message.m_targets)},
-      {"removed", internal::listJson(Message.m_removed)},
-      {"others", internal::listJson(Message.m_othersUse)},
-      {"entries", Message.m_entries},
-      {"routing", Message.m_routingVersion},
-      {"document", nlohmann::json::binary({Message.m_routingDocument.begin(),
-                                           Message.m_routingDocument.end()})}};
+  return {{"term", Message.m_term},
+          {"leader", Message.m_leader.str()},
+          {"leads", Message.m_leads},
+          {"relays", Message.m_relays},
+          {"age_us", Message.m_ageMicros},
+          {"source", Message.m_source.str()},
+          {"coordinators", internal::listJson(Message.m_coordinators)},
+          {"echo_us", Message.m_echoMicros},
+          {"from", Message.m_from},
+          {"sequence", Message.m_sequence},
+          {"complete", Message.m_complete},
+          {"targets", internal::listJson(Message.m_targets)},
+          {"removed", internal::listJson(Message.m_removed)},
+          {"uses", internal::binaryJson(Message.m_uses)},
+          {"entries", Message.m_entries},
+          {"routing", Message.m_routingVersion},
+          {"document", internal::binaryJson(Message.m_routingDocument)}};
 }
 
 Result<RosterMessage, FleetError>
@@ -139,6 +182,8 @@
   FeedRequest Read;
   internal::JsonReader Reader(Value);
   Reader.id("node", Read.m_node, true)
+      .flag("relay", Read.m_relay)
+      .number("entries", Read.m_entries)
       .number("sent_us", Read.m_sentAtMicros)
       .number("term", Read.m_term)
       .number("sequence", Read.m_sequence)
@@ -157,20 +202,20 @@
   Reader.number("term", Read.m_term)
       .id("leader", Read.m_leader)
       .flag("leads", Read.m_leads)
+      .flag("relays", Read.m_relays)
+      .number("age_us", Read.m_ageMicros)
+      .id("source", Read.m_source)
       .number("echo_us", Read.m_echoMicros)
       .number("from", Read.m_from)
       .number("sequence", Read.m_sequence)
       .flag("complete", Read.m_complete)
       .number("entries", Read.m_entries)
       .number("routing", Read.m_routingVersion);
-  auto Document = Value.find("document");
-  if (Document != Value.end() && Document->is_binary())
-    Read.m_routingDocument.assign(Document->get_binary().begin(),
-                                  Document->get_binary().end());
+  internal::readBinary(Value, "document", Read.m_routingDocument);
+  internal::readBinary(Value, "uses", Read.m_uses);
   internal::readList(Reader, "coordinators", Read.m_coordinators);
   internal::readList(Reader, "targets", Read.m_targets);
   internal::readList(Reader, "removed", Read.m_removed);
-  internal::readList(Reader, "others", Read.m_othersUse);
   return internal::makeResult(Reader, Read);
 }
 
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "absl/types/span.h"
 #include "turmericdyke/src/Base/Result.h"
 #include "turmericdyke/src/Base/StringId.h"
 #include "turmericdyke/src/Fleet/FleetError.h"
@@ -45,10 +47,14 @@
   std::int64_t m_requests = 0;
 };
 
-/// Sent by an entry node to a coordinator: the state that it holds and the
-/// targets that it uses.
+/// Sent by an entry node to a coordinator, and by a relaying coordinator to the
+/// leader: the state that it holds and the targets that it uses.
 struct FeedRequest {
   NodeId m_node;
+  /// The sender is a coordinator that relays the feed to entry nodes.
+  bool m_relay = false;
+  /// Number of entry nodes that a relay serves and that are not stopping.
+  std::int64_t m_entries = 0;
   /// Send time on the sender's clock; echoed, so that the sender can bound the
   /// age of the update.
   std::int64_t m_sentAtMicros = 0;
@@ -66,13 +72,19 @@
   bool m_stopping = false;
 };
 
-/// Sent by a coordinator to an entry node. A coordinator that is not the leader
-/// only names the leader.
+/// Sent by a coordinator to an entry node. A coordinator that neither leads nor
+/// relays only names the leader.
 struct FeedUpdate {
   std::uint64_t m_term = 0;
   NodeId m_leader;
   /// The sender is the leader and holds the leader lease.
   bool m_leads = false;
+  /// The sender passes on the state of the leader, which it last confirmed
+  /// `m_ageMicros` ago.
+  bool m_relays = false;
+  std::int64_t m_ageMicros = 0;
+  /// The coordinator that the receiver should send its requests to.
+  NodeId m_source;
   std::vector<NodeId> m_coordinators;
   /// The send time of the request that this answers; 0 if it answers none.
   std::int64_t m_echoMicros = 0;
@@ -85,8 +97,9 @@
   bool m_complete = false;
   std::vector<ServingTarget> m_targets;
   std::vector<TargetId> m_removed;
-  /// Requests of the other entry nodes at each target.
-  std::vector<TargetUse> m_othersUse;
+  /// Requests of all entry nodes at each target, the receiver included; see
+  /// `encodeUses`. Encoded once for all receivers.
+  std::string m_uses;
   /// Number of entry nodes known to the leader.
   std::int64_t m_entries = 0;
   std::uint64_t m_routingVersion = 0;
@@ -94,6 +107,11 @@
   std::string m_routingDocument;
 };
 
+/// The encoded form of `FeedUpdate::m_uses`, and back. Malformed bytes and more
+/// than 4096 entries are an error.
+std::string encodeUses(absl::Span<const TargetUse> Uses);
+Result<std::vector<TargetUse>, FleetError> decodeUses(std::string_view Bytes);
+
 nlohmann::json toJson(const RosterMessage &Message);
 nlohmann::json toJson(const FeedRequest &Message);
 nlohmann::json toJson(const FeedUpdate &Message);
--- a/packages/fleet/turmericdyke/src/Fleet/ServerAnnouncement.h
+++ b/packages/fleet/turmericdyke/src/Fleet/ServerAnnouncement.h
@@ -77,4 +77,8 @@
   std::optional<GroupMembership> m_group;
 };
 
+/// Whether two announcements of a server state the same, apart from their
+/// sequence numbers.
+bool sameContent(const ServerAnnouncement &A, const ServerAnnouncement &B);
+
 } // namespace turmericdyke
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -481,40 +481,54 @@
          Spares;
 }
 
+GroupPlanner::ServingGroups
+GroupPlanner::servingGroups(const ServiceEntry &Service) {
+  ServingGroups Serving;
+  for (auto &[Epoch, G] : m_groups) {
+    const ServerRecord *Head = m_input->m_servers->find(G.head());
+    if (G.m_phase == GroupPhase::Serving && G.m_service == Service.m_id &&
+        Head != nullptr)
+      Serving[Head->m_announcement.m_fabricDomain].push_back(&G);
+  }
+  return Serving;
+}
+
+std::size_t GroupPlanner::serversWithWeights(const EngineModel &Model,
+                                             const FabricDomainId &Domain,
+                                             const FreeServers &Free) {
+  auto InDomain = Free.find(Domain);
+  if (InDomain == Free.end())
+    return 0;
+  return static_cast<std::size_t>(std::count_if(
+      InDomain->second.begin(), InDomain->second.end(),
+      [&](const ServerRecord *S) { return S->holdsWeights(Model.m_name); }));
+}
+
 GroupPlanner::Preemption GroupPlanner::findPreemption(
     const ServiceEntry &Service, const EngineModel &Model,
-    const FabricDomainId &Domain, const FreeServers &Free) {
+    absl::Span<Group *const> Serving, std::size_t Warm, ModelBalance Balance) {
   Preemption Found;
-  ModelBalance Balance = modelBalance(Service);
-  std::size_t Warm = 0;
-  auto InDomain = Free.find(Domain);
-  if (InDomain != Free.end())
-    for (const ServerRecord *Server : InDomain->second)
-      Warm += Server->holdsWeights(Model.m_name) ? 1 : 0;
-  for (auto &[Epoch, G] : m_groups) {
+  for (Group *G : Serving) {
     if (Warm >= Model.m_members)
       break;
-    const EngineModel *Other = Service.m_engine->model(G.m_model);
-    const ServerRecord *Head = m_input->m_servers->find(G.head());
-    if (G.m_phase != GroupPhase::Serving || G.m_service != Service.m_id ||
-        Other == nullptr || Other == &Model || Head == nullptr ||
-        Head->m_announcement.m_fabricDomain != Domain)
+    const EngineModel *Other = Service.m_engine->model(G->m_model);
+    if (Other == nullptr || Other == &Model)
       continue;
     // The donor model must stay better supplied than the receiving one.
-    Balance.remove(*Other, G.m_members.size());
+    Balance.remove(*Other, G->m_members.size());
     if (Balance.serversPerShare(*Other) < Balance.serversPerShare(Model)) {
-      Balance.add(*Other, G.m_members.size());
+      Balance.add(*Other, G->m_members.size());
       continue;
     }
     std::size_t Before = Warm;
-    for (const Member &M : G.m_members) {
-      const ServerRecord *Server = liveMember(G, M);
+    for (const Member &M : G->m_members) {
+      const ServerRecord *Server = liveMember(*G, M);
       Warm += Server != nullptr && Server->holdsWeights(Model.m_name) ? 1 : 0;
     }
     if (Warm == Before)
       continue;
-    Found.m_closed.push_back(&G);
-    Found.m_servers += G.m_members.size();
+    Found.m_closed.push_back(G);
+    Found.m_servers += G->m_members.size();
   }
   if (Warm < Model.m_members)
     return {};
@@ -529,15 +543,14 @@
   if (Balance.serversPerShare(*BestSupplied) <
       Balance.serversPerShare(Model) * internal::MinDonorSurplus)
     return;
-  std::set<FabricDomainId> Domains;
-  for (const auto &[Id, Server] : m_input->m_servers->all())
-    if (Server.m_announcement.m_service == Service.m_id &&
-        m_reserved.count(Server.m_announcement.m_fabricDomain) == 0)
-      Domains.insert(Server.m_announcement.m_fabricDomain);
   Preemption Best;
   FabricDomainId BestDomain;
-  for (const FabricDomainId &Domain : Domains) {
-    Preemption Found = findPreemption(Service, Model, Domain, Free);
+  for (const auto &[Domain, Serving] : servingGroups(Service)) {
+    if (m_reserved.count(Domain) > 0)
+      continue;
+    Preemption Found =
+        findPreemption(Service, Model, Serving,
+                       serversWithWeights(Model, Domain, Free), Balance);
     if (Found.m_closed.empty() ||
         (!Best.m_closed.empty() && Found.m_servers >= Best.m_servers))
       continue;
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/types/span.h"
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Catalog/Catalog.h"
 #include "turmericdyke/src/Groups/ServerDirectory.h"
@@ -220,10 +221,19 @@
   /// without a load.
   void preemptFor(const ServiceEntry &Service, const EngineModel &Model,
                   const FreeServers &Free);
+  /// Groups that serve, by fabric domain.
+  using ServingGroups = std::map<FabricDomainId, std::vector<Group *>>;
+  ServingGroups servingGroups(const ServiceEntry &Service);
+  /// Free servers of a fabric domain that need no load for a group of `Model`.
+  static std::size_t serversWithWeights(const EngineModel &Model,
+                                        const FabricDomainId &Domain,
+                                        const FreeServers &Free);
+  /// `Serving` are the groups of one fabric domain, where `Warm` free servers
+  /// hold the weights of `Model`.
   Preemption findPreemption(const ServiceEntry &Service,
                             const EngineModel &Model,
-                            const FabricDomainId &Domain,
-                            const FreeServers &Free);
+                            absl::Span<Group *const> Serving, std::size_t Warm,
+                            ModelBalance Balance);
   void stageWeights(const ServiceEntry &Service, const FreeServers &Free);
 
   GroupPlannerOptions m_options;
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
@@ -11,13 +11,6 @@
 /// seconds.
 constexpr absl::Duration WithdrawnRetention = absl::Seconds(60);
 
-bool sameContent(const ServerAnnouncement &A, const ServerAnnouncement &B) {
-  return A.m_startMillis == B.m_startMillis && A.m_service == B.m_service &&
-         A.m_address == B.m_address && A.m_draining == B.m_draining &&
-         A.m_group == B.m_group && A.m_model == B.m_model &&
-         A.m_stagedModels == B.m_stagedModels && A.m_slots == B.m_slots;
-}
-
 } // namespace
 } // namespace internal
 
@@ -67,7 +60,7 @@
   claimAddress(Value);
   auto [At, New] = m_servers.try_emplace(Value.m_id);
   ServerRecord &Record = At->second;
-  bool Same = !New && internal::sameContent(Record.m_announcement, Value);
+  bool Same = !New && sameContent(Record.m_announcement, Value);
   if (Record.m_announcement.m_startMillis != Value.m_startMillis)
     Record.m_modelInMemory.clear();
   Record.m_announcement = Value;
@@ -83,6 +76,22 @@
   return Same ? AnnouncementResult::Unchanged : AnnouncementResult::Changed;
 }
 
+bool ServerDirectory::confirm(Instant Now, const ServerHeard &Heard) {
+  auto Found = m_servers.find(Heard.m_id);
+  if (Found == m_servers.end() || m_withdrawn.count(Heard.m_id) > 0)
+    return false;
+  ServerRecord &Record = Found->second;
+  ServerAnnouncement &Announcement = Record.m_announcement;
+  if (Announcement.m_startMillis != Heard.m_startMillis ||
+      Heard.m_sequence <= Announcement.m_sequence)
+    return false;
+  Announcement.m_sequence = Heard.m_sequence;
+  Record.m_inherited = false;
+  Record.m_lastHeard = Now;
+  Record.m_failedProbes = 0;
+  return true;
+}
+
 bool ServerDirectory::withdraw(Instant Now, const TargetId &Id) {
   auto Found = m_servers.find(Id);
   if (Found == m_servers.end())
@@ -174,7 +183,7 @@
   Announcement.m_stagedModels = Report.m_stagedModels;
   Announcement.m_model = Report.m_model;
   Announcement.m_group = Report.m_group;
-  bool Same = internal::sameContent(Announcement, Record.m_announcement);
+  bool Same = sameContent(Announcement, Record.m_announcement);
   if (!Same)
     Record.m_changeSequence = ++m_sequence;
   Record.m_announcement = std::move(Announcement);
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -61,6 +61,9 @@
 class ServerDirectory {
 public:
   AnnouncementResult announce(Instant Now, const ServerAnnouncement &Value);
+  /// Another coordinator heard the server repeat the state that this directory
+  /// holds. Returns whether it was news of the known incarnation.
+  bool confirm(Instant Now, const ServerHeard &Heard);
   /// The server announces its end: it counts as draining, and is removed once
   /// it is silent. Late announcements of the same incarnation are stale from
   /// now on. Returns whether the server was known.
--- a/packages/peer/turmericdyke/src/Peer/PeerMessages.cpp
+++ b/packages/peer/turmericdyke/src/Peer/PeerMessages.cpp
@@ -15,7 +15,8 @@
     "lease_grant",  "propose",       "propose_result",
     "swim",         "target_digest", "quota_request",
     "quota_grant",  "bootstrap",     "roster",
-    "feed_request", "feed_update",   "directory_update"};
+    "feed_request", "feed_update",   "directory_update",
+    "announcements"};
 static_assert(std::size(KindNames) == PeerMessageKinds);
 
 constexpr std::string_view StatusNames[] = {"committed", "not_leader",
@@ -132,6 +133,10 @@
   return internal::toCbor(toJson(Message));
 }
 
+std::string encode(const AnnouncementBatch &Message) {
+  return internal::toCbor(toJson(Message));
+}
+
 Result<LeaseRequest, PeerError> decodeLeaseRequest(std::string_view Bytes) {
   Result<nlohmann::json, PeerError> Value = internal::fromCbor(Bytes);
   if (!Value)
@@ -217,4 +222,10 @@
   return internal::decodeFleet<DirectoryUpdate>(Bytes, parseDirectoryUpdate);
 }
 
+Result<AnnouncementBatch, PeerError>
+decodeAnnouncementBatch(std::string_view Bytes) {
+  return internal::decodeFleet<AnnouncementBatch>(Bytes,
+                                                  parseAnnouncementBatch);
+}
+
 } // namespace turmericdyke
--- a/packages/peer/turmericdyke/src/Peer/PeerMessages.h
+++ b/packages/peer/turmericdyke/src/Peer/PeerMessages.h
@@ -32,9 +32,10 @@
   FeedRequest,
   FeedUpdate,
   DirectoryUpdate,
+  AnnouncementBatch,
 };
 
-inline constexpr std::size_t PeerMessageKinds = 15;
+inline constexpr std::size_t PeerMessageKinds = 16;
 
 /// The name on the wire, the last part of the path `/peer/v1/KIND`.
 std::string_view nameOf(PeerMessageKind Kind);
@@ -91,6 +92,7 @@
 std::string encode(const FeedRequest &Message);
 std::string encode(const FeedUpdate &Message);
 std::string encode(const DirectoryUpdate &Message);
+std::string encode(const AnnouncementBatch &Message);
 
 Result<LeaseRequest, PeerError> decodeLeaseRequest(std::string_view Bytes);
 Result<LeaseGrant, PeerError> decodeLeaseGrant(std::string_view Bytes);
@@ -105,5 +107,7 @@
 Result<FeedUpdate, PeerError> decodeFeedUpdate(std::string_view Bytes);
 Result<DirectoryUpdate, PeerError>
 decodeDirectoryUpdate(std::string_view Bytes);
+Result<AnnouncementBatch, PeerError>
+decodeAnnouncementBatch(std::string_view Bytes);
 
 } // namespace turmericdyke
