End attempts whose target sends bytes without end

Cause: a server in trouble may send a head, a skipped response, a body or an event without end. The head was bounded; interim and foreign responses, bodies over 1 MiB and unsigned successes were read until the caller's deadline, and an event without end was held in memory without a bound.

Change: a call ends after 128 KiB of bytes before its own response; an attempt ends with an unsigned success, a body or an event over 1 MiB, and is retried if its kind allows it.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -17,6 +17,8 @@
 /// one can be retried before the caller has seen any of it. Responses of
 /// services are about 1 KB.
 constexpr std::size_t MaxBufferedResponseBytes = 1 << 20;
+/// The same for one event of a stream. Events hold some tokens.
+constexpr std::size_t MaxEventBytes = 1 << 20;
 /// An at-most-once request uses a kept-alive connection only if it was idle for
 /// at most this long. If the server has just closed the connection, it is
 /// unknown whether the request ran.
@@ -259,6 +261,11 @@
   m_responseInfo = Info;
   bool Success = Head.m_status < internal::FirstFailure;
   m_invalid = (Success && !Info.m_signed) || Info.m_recoded;
+  if (m_invalid && !Info.m_notRun) {
+    // Such a response is of no use, and its body may have no end.
+    abandonAttempt(AttemptOutcome::Lost);
+    return true;
+  }
   if (Success && !m_invalid && Info.m_events && !m_callerGone)
     startRelay(Head);
   return true;
@@ -278,13 +285,14 @@
   if (isRelaying() && m_responseInfo.m_events)
     return relay(Bytes);
   if (m_body.size() + Bytes.size() > internal::MaxBufferedResponseBytes)
-    m_invalid = true;
-  else
-    m_body.append(Bytes);
+    return abandonAttempt(AttemptOutcome::Lost);
+  m_body.append(Bytes);
 }
 
 void EntryExchange::relay(std::string_view Bytes) {
   std::string Complete = m_events.feed(Bytes);
+  if (m_events.partialBytes() > internal::MaxEventBytes)
+    return abandonAttempt(AttemptOutcome::Lost);
   if (Complete.empty())
     return;
   Instant Now = monotonicNow();
@@ -340,9 +348,13 @@
   // that may not run again stays at its target.
   if (!m_connection || !mayRetryByKind() || m_callerGone)
     return;
+  abandonAttempt(AttemptOutcome::GroupEnded);
+}
+
+void EntryExchange::abandonAttempt(AttemptOutcome Outcome) {
   m_connection->cancel();
   endAttempt(false);
-  finishAttempt(AttemptOutcome::GroupEnded);
+  finishAttempt(Outcome);
 }
 
 void EntryExchange::onTargetClosing() {
@@ -358,9 +370,7 @@
   if (place(placementOptions(), AmpleCapacity, m_services.m_random).m_outcome !=
       PlacementOutcome::Placed)
     return;
-  m_connection->cancel();
-  endAttempt(false);
-  finishAttempt(AttemptOutcome::GroupEnded);
+  abandonAttempt(AttemptOutcome::GroupEnded);
 }
 
 bool EntryExchange::mayRetryByKind() const {
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -51,6 +51,8 @@
   void send(const ServingTarget &Target);
   void finishAttempt(AttemptOutcome Outcome);
   std::unique_ptr<HttpClientConnection> releaseTarget();
+  /// Ends the current attempt without waiting for the rest of its response.
+  void abandonAttempt(AttemptOutcome Outcome);
   /// `Keep` returns the connection to the pool.
   void endAttempt(bool Keep);
   AttemptOutcome outcomeOf(ClientCallStatus End) const;
--- a/packages/http/test/HttpLoopbackTest.cpp
+++ b/packages/http/test/HttpLoopbackTest.cpp
@@ -238,3 +238,45 @@
   CHECK(Log.m_end == ClientCallStatus::ConnectRefused);
   CHECK_FALSE(Connection.sentAny());
 }
+
+// Guards against a server in trouble that sends bytes without end: in a header,
+// in a body that belongs to another request, and in interim responses. The call
+// must end long before the caller's deadline.
+TEST_CASE("endless bytes that are no response end the call") {
+  std::string Endless(1 << 20, 'x');
+  std::string Interim;
+  for (int At = 0; At < 20'000; ++At)
+    Interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  for (const std::string &Answer :
+       {"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nX-Pad: " + Endless,
+        "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: "
+        "99999999\r\n\r\n" +
+            Endless,
+        Interim}) {
+    internal::Descriptor Listener =
+        std::move(internal::listenOn("127.0.0.1:0")).value();
+    std::string Address = internal::boundAddress(Listener);
+    std::atomic<bool> Stop = false;
+    std::thread Server([&] {
+      int File = -1;
+      while (File < 0)
+        File = accept(Listener.get(), nullptr, nullptr);
+      // Sends until the caller closes.
+      while (!Stop &&
+             ::send(File, Answer.data(), Answer.size(), MSG_NOSIGNAL) > 0)
+        ;
+      close(File);
+    });
+    EventLoop Loop;
+    RecordedCall Log(Loop);
+    HttpClientConnection Connection(Loop, Address, {});
+    Connection.call("GET / HTTP/1.1\r\n\r\n", false, Log);
+    EventLoop::Timer Limit = Loop.after(TestLimit, [&Loop] { Loop.stop(); });
+    Loop.run();
+    Loop.cancel(Limit);
+    Connection.cancel();
+    Stop = true;
+    Server.join();
+    CHECK(Log.m_end == ClientCallStatus::Malformed);
+  }
+}
--- a/packages/http/turmericdyke/src/Http/HttpClientConnection.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpClientConnection.cpp
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 16 << 10;
+/// Bytes of interim responses and of responses to other calls that are skipped
+/// before a call counts as failed. A server in trouble may send such bytes
+/// without end.
+constexpr std::size_t MaxSkippedBytes = 128 << 10;
 /// A connection whose server does not send a keep-alive time is not kept for
 /// long: a request that is sent while the server closes the connection may have
 /// been executed.
@@ -62,6 +66,8 @@
   m_sent = 0;
   m_isHead = IsHead;
   m_skipping = false;
+  m_accepted = false;
+  m_skippedBytes = 0;
   m_messageEnded = false;
   ++m_calls;
   if (m_state == State::Unconnected)
@@ -189,6 +195,10 @@
     if (!*Alive || m_events == nullptr)
       return;
     Bytes.remove_prefix(std::min(Consumed, Bytes.size()));
+    if (!m_accepted)
+      m_skippedBytes += Consumed;
+    if (m_skippedBytes > internal::MaxSkippedBytes)
+      return endCall(ClientCallStatus::Malformed);
     if (Status == HttpReadStatus::NeedsMore)
       return;
     if (Status != HttpReadStatus::MessageEnded)
@@ -209,6 +219,7 @@
   if (m_events == nullptr)
     return true;
   if (!m_skipping) {
+    m_accepted = true;
     m_reusable = m_reusable && Head.m_keepAlive;
     m_keepAliveTime = keepAliveTime();
   }
--- a/packages/http/turmericdyke/src/Http/HttpClientConnection.h
+++ b/packages/http/turmericdyke/src/Http/HttpClientConnection.h
@@ -101,6 +101,10 @@
   std::size_t m_sent = 0;
   bool m_isHead = false;
   bool m_skipping = false;
+  /// Whether a response head of the current call was accepted, and how many
+  /// bytes arrived before.
+  bool m_accepted = false;
+  std::size_t m_skippedBytes = 0;
   bool m_messageEnded = false;
   bool m_reusable = true;
   bool m_reading = true;
--- a/packages/serving/turmericdyke/src/Serving/EventRelay.h
+++ b/packages/serving/turmericdyke/src/Serving/EventRelay.h
@@ -18,6 +18,8 @@
   /// Drops the partial event that is held back, before the stream is resumed.
   void dropPartial() { m_partial.clear(); }
 
+  /// Bytes of the partial event that is held back.
+  std::size_t partialBytes() const { return m_partial.size(); }
   /// Whether no partial event is held back.
   bool atBoundary() const { return m_partial.empty(); }
   /// Identifier of the last complete event; empty before the first one.
