Keep a coordinator running while its disk takes no writes

Change: it stops leading and voting, refuses changes with 503, and opens its data directory again once a second until the disk takes writes.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -63,6 +63,8 @@
     return Exchange->respond(m_protocol.errorResponse(
         400, Error->m_place + ": " + Error->m_message));
   }
+  if (m_storageFailed)
+    return Exchange->respond(m_protocol.errorResponse(503, "storage failed"));
   if (!m_core || m_stopping)
     return redirect(*Exchange);
   std::uint64_t Version = Parsed.value().m_version;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -24,8 +24,8 @@
 constexpr absl::Duration StopWait = absl::Seconds(2);
 constexpr absl::Duration StopPollInterval = absl::Milliseconds(50);
 /// A full or failing disk rarely recovers within a second. The delay avoids a
-/// tight restart loop.
-constexpr absl::Duration StorageRestartDelay = absl::Seconds(4);
+/// tight loop.
+constexpr absl::Duration StorageRetryDelay = absl::Seconds(1);
 
 std::string_view nameOf(RaftEventKind Kind) {
   constexpr std::string_view Names[] = {"leadership_gained", "leadership_lost",
@@ -197,25 +197,61 @@
 }
 
 void CoordinatorNode::tickCore() {
+  if (!m_core)
+    return;
   Instant Now = monotonicNow();
   m_core->tick(Now, absl::Now(), m_random);
   runCore();
   updateLeadership();
-  m_loop.after(internal::CoreTick, [this] { tickCore(); });
+  m_loop.cancel(m_coreTimer);
+  m_coreTimer = m_loop.after(internal::CoreTick, [this] { tickCore(); });
 }
 
 void CoordinatorNode::runCore() {
   m_driver->processActions();
   if (!m_driver->storageFailed() || m_storageFailed)
     return;
-  // The core has stopped taking part in consensus. A restart reads the
-  // directory again.
+  // The core has stopped taking part in consensus. The node goes on without a
+  // log, and opens the directory again until its disk takes writes.
   m_storageFailed = true;
-  LogLine(LogLevel::Error, "coordinator_ends")
-      .field("reason", "storage")
-      .field("after_ms",
-             absl::ToInt64Milliseconds(internal::StorageRestartDelay));
-  m_loop.after(internal::StorageRestartDelay, [this] { m_loop.stop(); });
+  LogLine(LogLevel::Error, "storage_lost")
+      .field("node", m_settings.m_name)
+      .field("retry_ms",
+             absl::ToInt64Milliseconds(internal::StorageRetryDelay));
+  stopLeading();
+  refusePendingPuts();
+  m_loop.after(internal::StorageRetryDelay, [this] { reopenStorage(); });
+}
+
+void CoordinatorNode::refusePendingPuts() {
+  for (const auto &[Ticket, Exchange] : m_pendingPuts)
+    Exchange->respond(m_protocol.errorResponse(503, "storage failed"));
+  m_pendingPuts.clear();
+}
+
+void CoordinatorNode::reopenStorage() {
+  m_driver.reset();
+  m_core.reset();
+  // Releases the lock of the directory.
+  m_directory.reset();
+  auto Opened = DataDirectory::open(m_settings.m_dataDirectory);
+  if (!Opened) {
+    LogLine(LogLevel::Warning, "storage_unavailable")
+        .field("node", m_settings.m_name)
+        .field("reason", Opened.error().m_message);
+    m_loop.after(internal::StorageRetryDelay, [this] { reopenStorage(); });
+    return;
+  }
+  m_directory = std::move(Opened).value();
+  m_storageFailed = false;
+  LogLine(LogLevel::Info, "storage_regained")
+      .field("node", m_settings.m_name)
+      .field("empty", m_directory->isEmpty());
+  if (!m_directory->isEmpty())
+    return startCore(m_directory->load());
+  m_bootstrap.emplace(m_self, m_directory->identity(), m_settings.m_seeds,
+                      false);
+  stepBootstrap();
 }
 
 void CoordinatorNode::processOutput(const ControlOutput &Output) {
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -61,6 +61,11 @@
   void stepBootstrap();
   void tickCore();
   void runCore();
+  /// Opens the data directory again after a write has failed, and starts the
+  /// core from what is on disk.
+  void reopenStorage();
+  /// Answers the calls whose command has no known outcome.
+  void refusePendingPuts();
   void processOutput(const ControlOutput &Output);
   void sendAll(const std::vector<AddressedMessage> &Messages);
   void onPeerMessage(const ReceivedMessage &Message);
@@ -97,6 +102,8 @@
 
   // Leadership.
   void updateLeadership();
+  /// Drops the state that is valid only while this node leads.
+  void stopLeading();
   void schedulePlan();
   void planAt(Instant When);
   void plan();
@@ -141,6 +148,7 @@
   std::optional<Bootstrap> m_bootstrap;
   std::optional<ControlCore> m_core;
   std::optional<CoreDriver> m_driver;
+  EventLoop::Timer m_coreTimer;
   CoordinatorRoster m_roster;
   /// Put calls that wait for their command to be committed, by ticket.
   std::map<std::uint64_t, std::shared_ptr<ServerExchange>> m_pendingPuts;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -61,14 +61,8 @@
     m_knownLeader = Leader;
   }
   bool Leads = m_core->leads(Now);
-  if (!m_core->raft().isLeader() && m_ledTerm != 0) {
-    m_ledTerm = 0;
-    m_fencingToken = 0;
-    m_planner.stop();
-    m_feed.reset();
-    m_feedRelay.reset();
-    return;
-  }
+  if (!m_core->raft().isLeader() && m_ledTerm != 0)
+    return stopLeading();
   if (Leads && m_ledTerm != m_core->raft().term()) {
     m_ledTerm = m_core->raft().term();
     m_leaderSince = Now;
@@ -82,6 +76,15 @@
   }
 }
 
+void CoordinatorNode::stopLeading() {
+  m_ledTerm = 0;
+  m_fenceTicket = 0;
+  m_fencingToken = 0;
+  m_planner.stop();
+  m_feed.reset();
+  m_feedRelay.reset();
+}
+
 void CoordinatorNode::inheritServers() {
   Instant Now = monotonicNow();
   m_settled = false;
