Form groups so that few servers of a domain are left over

Change: among domains with equally many copies of the weights, a group goes where the fewest servers become useless for any group.

--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -34,6 +34,31 @@
   return Lost;
 }
 
+/// The largest number of `Free` servers of a fabric domain that groups of the
+/// models can use together.
+std::size_t usableServers(const EngineCosts &Engine, std::size_t Free) {
+  std::vector<bool> Reachable(Free + 1, false);
+  Reachable[0] = true;
+  std::size_t Best = 0;
+  for (std::size_t Count = 1; Count <= Free; ++Count) {
+    for (const EngineModel &Model : Engine.m_models)
+      if (Model.m_members <= Count && Reachable[Count - Model.m_members])
+        Reachable[Count] = true;
+    if (Reachable[Count])
+      Best = Count;
+  }
+  return Best;
+}
+
+/// How many more servers are left without a group once a group of `Model` is
+/// formed in a fabric domain with `Free` servers. In a domain of 9, a group of
+/// 4 and one of 3 leave 2 servers idle, three groups of 3 leave none.
+std::size_t serversStranded(const EngineCosts &Engine, const EngineModel &Model,
+                            std::size_t Free) {
+  return usableServers(Engine, Free) - Model.m_members -
+         usableServers(Engine, Free - Model.m_members);
+}
+
 } // namespace
 } // namespace internal
 
@@ -569,7 +594,7 @@
                              const EngineModel &Model, FreeServers &Free) {
   std::vector<const ServerRecord *> *Best = nullptr;
   FabricDomainId BestDomain;
-  std::tuple<std::int64_t, std::size_t, std::size_t> BestScore;
+  std::tuple<std::int64_t, std::size_t, std::size_t, std::size_t> BestScore;
   for (auto &[Domain, Servers] : Free) {
     if (Servers.size() < Model.m_members)
       continue;
@@ -583,11 +608,12 @@
         });
     Warm = std::min<std::int64_t>(Warm,
                                   static_cast<std::int64_t>(Model.m_members));
-    // Prefers the domain with the most copies of the weights, then the one that
-    // loses room for the fewest larger groups, then the one with the fewest
-    // free servers.
+    // Prefers the domain with the most copies of the weights, then the one
+    // where the fewest servers are stranded, then the one that loses room for
+    // the fewest larger groups, then the one with the fewest free servers.
     std::tuple Score{
         -Warm,
+        internal::serversStranded(*Service.m_engine, Model, Servers.size()),
         internal::largerGroupsLost(*Service.m_engine, Model, Servers.size()),
         Servers.size()};
     if (Best == nullptr || Score < BestScore) {
