Wait for peers with epoll, and send only to peers with messages

Cause: each wake-up of the peer transport's thread visited every peer and polled every socket.

Change: PeerPoll keeps sockets in epoll, enqueued messages name their peer, and pings, timeouts and reconnects are looked after every 50 ms.

--- a/packages/peer/turmericdyke/src/Peer/OutgoingPeer.cpp
+++ b/packages/peer/turmericdyke/src/Peer/OutgoingPeer.cpp
@@ -16,9 +16,10 @@
 // Responses to messages have no body; the handshake reply has about 400 bytes.
 constexpr Http2Limits ResponseLimits{4096, 64 << 10};
 
-OutgoingPeer::OutgoingPeer(TransportContext &Context, std::string Address,
+OutgoingPeer::OutgoingPeer(TransportContext &Context, std::uint64_t Id,
+                           std::string Address,
                            std::shared_ptr<SendQueue> Queue, Instant Now)
-    : m_context(Context), m_address(std::move(Address)),
+    : m_context(Context), m_id(Id), m_address(std::move(Address)),
       m_queue(std::move(Queue)), m_backoff(Context.m_options.m_minBackoff),
       m_nextAttempt(Now), m_lastUse(Now) {}
 
@@ -42,18 +43,10 @@
   m_lastPingAck += By;
 }
 
-Instant OutgoingPeer::deadline() const {
-  if (m_stage == Stage::Closed)
-    return m_queue->empty() ? absl::InfiniteFuture() : m_nextAttempt;
-  if (m_stage != Stage::Ready)
-    return m_handshakeDeadline;
-  return std::min(m_nextPing,
-                  m_lastPingAck + m_context.m_options.m_pingTimeout);
-}
-
 void OutgoingPeer::connect(Instant Now) {
   const PeerTransportOptions &Options = m_context.m_options;
   m_lastUse = Now;
+  ++m_connections;
   Result<Descriptor, SocketError> Socket = connectTo(m_address);
   if (!Socket) {
     LogLine(LogLevel::Warning, "peer_connect_failed")
@@ -116,7 +109,15 @@
   if (Now >= m_nextPing) {
     m_connection->submitPing();
     m_nextPing = Now + Options.m_pingInterval;
+    flush(Now);
   }
+}
+
+void OutgoingPeer::sendQueued(Instant Now) {
+  if (m_stage == Stage::Closed)
+    return tick(Now);
+  if (m_stage != Stage::Ready)
+    return;
   submitQueued(Now);
   flush(Now);
 }
@@ -159,6 +160,9 @@
   if (m_pingAcknowledged)
     m_lastPingAck = Now;
   m_pingAcknowledged = false;
+  // The handshake has succeeded, or acknowledgements have made room.
+  if (m_stage == Stage::Ready && !m_failed)
+    submitQueued(Now);
   flush(Now);
 }
 
--- a/packages/peer/turmericdyke/src/Peer/OutgoingPeer.h
+++ b/packages/peer/turmericdyke/src/Peer/OutgoingPeer.h
@@ -15,16 +15,21 @@
 /// sends the queued messages over it once the handshake has succeeded.
 class OutgoingPeer : public Http2Listener {
 public:
-  OutgoingPeer(TransportContext &Context, std::string Address,
+  OutgoingPeer(TransportContext &Context, std::uint64_t Id, std::string Address,
                std::shared_ptr<SendQueue> Queue, Instant Now);
 
+  /// Identifies the peer to the poll.
+  std::uint64_t id() const { return m_id; }
+  /// Number of connections made so far.
+  std::uint64_t connections() const { return m_connections; }
+
   /// Connects, sends PINGs, replaces the connection and submits queued messages
   /// when they are due.
   void tick(Instant Now);
-  /// Reads and writes after `poll` has reported the socket.
+  /// Submits and writes queued messages.
+  void sendQueued(Instant Now);
+  /// Reads and writes after the poll has reported the socket.
   void serve(Instant Now, bool Readable);
-  /// When `tick` is due next.
-  Instant deadline() const;
   /// Extends the PING deadline after the I/O thread itself did not run for
   /// `By`.
   void extendPingDeadline(absl::Duration By);
@@ -54,6 +59,8 @@
   void flush(Instant Now);
 
   TransportContext &m_context;
+  std::uint64_t m_id = 0;
+  std::uint64_t m_connections = 0;
   std::string m_address;
   std::shared_ptr<SendQueue> m_queue;
   std::unique_ptr<Http2Connection> m_connection;
--- a/packages/peer/turmericdyke/src/Peer/PeerTransport.cpp
+++ b/packages/peer/turmericdyke/src/Peer/PeerTransport.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
-#include <poll.h>
+#include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <vector>
@@ -10,6 +10,7 @@
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Peer/IncomingPeer.h"
 #include "turmericdyke/src/Peer/OutgoingPeer.h"
+#include "turmericdyke/src/Peer/PeerPoll.h"
 #include "turmericdyke/src/Peer/TransportContext.h"
 
 namespace turmericdyke {
@@ -24,7 +25,12 @@
 // Limits the memory held for unauthenticated peers: with 16 KiB of bodies each,
 // about 2 MiB.
 constexpr std::ptrdiff_t MaxUnauthenticated = 128;
-constexpr absl::Duration MaxPollTimeout = absl::Milliseconds(500);
+/// Interval at which pings, timeouts and reconnects of all peers are looked
+/// after; the shortest of these times.
+constexpr absl::Duration TickInterval = absl::Milliseconds(50);
+/// Poll identifiers of the eventfd and the listener; those of peers are larger.
+constexpr std::uint64_t WakeId = 1;
+constexpr std::uint64_t ListenerId = 2;
 // An iteration that is this late means that the process was paused, and that
 // PING acknowledgements may be waiting unread.
 constexpr absl::Duration PauseThreshold = absl::Seconds(1);
@@ -60,7 +66,10 @@
                              internal::Descriptor Listener,
                              internal::Descriptor Wake)
     : m_context(std::make_unique<internal::TransportContext>()),
-      m_listener(std::move(Listener)), m_wake(std::move(Wake)) {
+      m_listener(std::move(Listener)), m_wake(std::move(Wake)),
+      m_poll(std::make_unique<internal::PeerPoll>()) {
+  m_poll->watch(m_poll->nextId(), m_wake.get(), 0, false);
+  m_poll->watch(m_poll->nextId(), m_listener.get(), 0, false);
   m_context->m_options = std::move(Options);
   m_context->m_handler = std::move(Handler);
   m_context->m_expectedNode = [this](const std::string &Address) {
@@ -160,8 +169,10 @@
     // The push is done under the lock, so that an idle queue is not removed
     // between look-up and push.
     absl::MutexLock Lock(&m_lock);
-    if (std::shared_ptr<SendQueue> Queue = queueFor(Address))
+    if (std::shared_ptr<SendQueue> Queue = queueFor(Address)) {
       Outcome = Queue->push(Kind, std::move(Bytes));
+      m_queued.insert(Address);
+    }
   }
   if (Outcome == SendQueue::PushOutcome::Refused) {
     Counters.add(PeerCounter::RefusedQueueFull);
@@ -225,12 +236,20 @@
     return;
   m_queuesChanged = false;
   std::erase_if(m_outgoing, [&](const auto &Entry) {
-    return !m_queues.contains(Entry.first);
+    if (m_queues.contains(Entry.first))
+      return false;
+    m_poll->forget(Entry.second->id());
+    m_outgoingById.erase(Entry.second->id());
+    return true;
   });
-  for (const auto &[Address, Queue] : m_queues)
-    if (!m_outgoing.contains(Address))
-      m_outgoing[Address] = std::make_unique<internal::OutgoingPeer>(
-          *m_context, Address, Queue, Now);
+  for (const auto &[Address, Queue] : m_queues) {
+    if (m_outgoing.contains(Address))
+      continue;
+    std::uint64_t Id = m_poll->nextId();
+    m_outgoing[Address] = std::make_unique<internal::OutgoingPeer>(
+        *m_context, Id, Address, Queue, Now);
+    m_outgoingById[Id] = Address;
+  }
 }
 
 void PeerTransport::dropIdle(Instant Now) {
@@ -239,20 +258,28 @@
     if (!Entry.second->isIdle(Now))
       return false;
     m_queues.erase(Entry.first);
+    m_poll->forget(Entry.second->id());
+    m_outgoingById.erase(Entry.second->id());
     return true;
   });
 }
 
 void PeerTransport::limitUnauthenticated() {
-  auto IsUnauthenticated = [](const auto &Peer) {
-    return !Peer->isAuthenticated();
-  };
-  auto Count =
-      std::count_if(m_incoming.begin(), m_incoming.end(), IsUnauthenticated);
+  std::ptrdiff_t Count = 0;
+  std::uint64_t Oldest = 0;
+  for (const auto &[Id, Peer] : m_incoming) {
+    if (Peer->isAuthenticated())
+      continue;
+    Oldest = Count++ == 0 ? Id : Oldest;
+  }
   // Drops the oldest, because a genuine handshake takes a few milliseconds.
   if (Count >= internal::MaxUnauthenticated)
-    m_incoming.erase(
-        std::find_if(m_incoming.begin(), m_incoming.end(), IsUnauthenticated));
+    dropIncoming(Oldest);
+}
+
+void PeerTransport::dropIncoming(std::uint64_t Id) {
+  m_poll->forget(Id);
+  m_incoming.erase(Id);
 }
 
 void PeerTransport::accept(Instant Now) {
@@ -263,57 +290,90 @@
     limitUnauthenticated();
     if (m_incoming.size() >= internal::MaxIncoming)
       continue;
-    m_incoming.push_back(std::make_unique<internal::IncomingPeer>(
-        *m_context, std::move(Socket), Now));
+    std::uint64_t Id = m_poll->nextId();
+    auto Peer = std::make_unique<internal::IncomingPeer>(
+        *m_context, std::move(Socket), Now);
+    m_poll->watch(Id, Peer->socket(), 0, Peer->wantsWrite());
+    m_incoming.emplace(Id, std::move(Peer));
   }
 }
 
-absl::Duration PeerTransport::pollTimeout(Instant Now) const {
-  Instant Next = Now + internal::MaxPollTimeout;
-  for (const auto &[Address, Peer] : m_outgoing)
-    Next = std::min(Next, Peer->deadline());
-  return std::max(Next - Now, absl::ZeroDuration());
-}
-
 bool PeerTransport::isDrained() const {
   return std::all_of(
       m_outgoing.begin(), m_outgoing.end(),
       [](const auto &Entry) { return Entry.second->isDrained(); });
 }
 
+void PeerTransport::sendQueued(Instant Now) {
+  std::set<std::string> Queued;
+  {
+    absl::MutexLock Lock(&m_lock);
+    Queued.swap(m_queued);
+  }
+  for (const std::string &Address : Queued) {
+    auto Found = m_outgoing.find(Address);
+    if (Found == m_outgoing.end())
+      continue;
+    internal::OutgoingPeer &Peer = *Found->second;
+    Peer.sendQueued(Now);
+    m_poll->watch(Peer.id(), Peer.socket(), Peer.connections(),
+                  Peer.wantsWrite());
+  }
+}
+
+void PeerTransport::tickPeers(Instant Now) {
+  for (const auto &[Address, Peer] : m_outgoing) {
+    Peer->tick(Now);
+    m_poll->watch(Peer->id(), Peer->socket(), Peer->connections(),
+                  Peer->wantsWrite());
+  }
+  std::vector<std::uint64_t> Overdue;
+  for (const auto &[Id, Peer] : m_incoming)
+    if (Peer->isOverdue(Now))
+      Overdue.push_back(Id);
+  for (std::uint64_t Id : Overdue)
+    dropIncoming(Id);
+  dropIdle(Now);
+}
+
+void PeerTransport::serveOutgoing(Instant Now, const std::string &Address,
+                                  std::uint32_t Events) {
+  internal::OutgoingPeer &Peer = *m_outgoing.at(Address);
+  Peer.serve(Now, (Events & ~static_cast<std::uint32_t>(EPOLLOUT)) != 0);
+  m_poll->watch(Peer.id(), Peer.socket(), Peer.connections(),
+                Peer.wantsWrite());
+}
+
+void PeerTransport::serveIncoming(Instant Now, std::uint64_t Id,
+                                  std::uint32_t Events) {
+  auto Found = m_incoming.find(Id);
+  if (Found == m_incoming.end())
+    return;
+  internal::IncomingPeer &Peer = *Found->second;
+  if (!Peer.serve(Now, (Events & ~static_cast<std::uint32_t>(EPOLLOUT)) != 0))
+    return dropIncoming(Id);
+  m_poll->watch(Id, Peer.socket(), 0, Peer.wantsWrite());
+}
+
 void PeerTransport::pollOnce(Instant Now) {
-  std::vector<pollfd> Polled = {{m_wake.get(), POLLIN, 0},
-                                {m_listener.get(), POLLIN, 0}};
-  auto Add = [&](int Socket, bool Write) {
-    short Events = Write ? POLLIN | POLLOUT : POLLIN;
-    Polled.push_back({Socket, Events, 0});
-  };
-  for (const auto &[Address, Peer] : m_outgoing)
-    Add(Peer->socket(), Peer->wantsWrite());
-  for (const auto &Peer : m_incoming)
-    Add(Peer->socket(), Peer->wantsWrite());
-  int Timeout = static_cast<int>(absl::ToInt64Milliseconds(
-      absl::Ceil(pollTimeout(Now), absl::Milliseconds(1))));
-  absl::Duration Allowed =
-      absl::Milliseconds(Timeout) + internal::PauseThreshold;
-  poll(Polled.data(), Polled.size(), Timeout);
+  absl::Duration Timeout = std::max(m_nextTick - Now, absl::ZeroDuration());
+  std::vector<internal::PeerPoll::Ready> Ready = m_poll->wait(Timeout);
   Instant WakeTime = monotonicNow();
-  drainWake();
-  std::size_t Index = 2;
-  for (const auto &[Address, Peer] : m_outgoing) {
-    if (WakeTime - Now > Allowed)
+  if (WakeTime - Now > Timeout + internal::PauseThreshold)
+    for (const auto &[Address, Peer] : m_outgoing)
       Peer->extendPingDeadline(WakeTime - Now);
-    short Events = Polled[Index++].revents;
-    if (Events != 0)
-      Peer->serve(WakeTime, (Events & ~POLLOUT) != 0);
+  for (const internal::PeerPoll::Ready &Event : Ready) {
+    if (Event.m_id == internal::WakeId) {
+      drainWake();
+    } else if (Event.m_id == internal::ListenerId) {
+      accept(WakeTime);
+    } else if (auto Outgoing = m_outgoingById.find(Event.m_id);
+               Outgoing != m_outgoingById.end()) {
+      serveOutgoing(WakeTime, Outgoing->second, Event.m_events);
+    } else {
+      serveIncoming(WakeTime, Event.m_id, Event.m_events);
+    }
   }
-  std::erase_if(m_incoming, [&](const auto &Peer) {
-    short Events = Polled[Index++].revents;
-    bool Open = Events == 0 || Peer->serve(WakeTime, (Events & ~POLLOUT) != 0);
-    return !Open || Peer->isOverdue(WakeTime);
-  });
-  if (Polled[1].revents != 0)
-    accept(WakeTime);
 }
 
 void PeerTransport::run() {
@@ -321,9 +381,11 @@
   for (;;) {
     Instant Now = monotonicNow();
     syncOutgoing(Now);
-    for (const auto &[Address, Peer] : m_outgoing)
-      Peer->tick(Now);
-    dropIdle(Now);
+    sendQueued(Now);
+    if (Now >= m_nextTick) {
+      m_nextTick = Now + internal::TickInterval;
+      tickPeers(Now);
+    }
     if (m_stopping.load()) {
       StopDeadline =
           std::min(StopDeadline, Now + m_context->m_options.m_stopTimeout);
--- a/packages/peer/turmericdyke/src/Peer/PeerTransport.h
+++ b/packages/peer/turmericdyke/src/Peer/PeerTransport.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <atomic>
-#include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -21,6 +21,7 @@
 namespace internal {
 class IncomingPeer;
 class OutgoingPeer;
+class PeerPoll;
 struct TransportContext;
 } // namespace internal
 
@@ -94,8 +95,15 @@
   void dropIdle(Instant Now);
   void accept(Instant Now);
   void limitUnauthenticated();
-  absl::Duration pollTimeout(Instant Now) const;
   bool isDrained() const;
+  /// Sends what was queued since the last call.
+  void sendQueued(Instant Now);
+  /// Carries out what is due at all peers: pings, timeouts and reconnects.
+  void tickPeers(Instant Now);
+  void serveOutgoing(Instant Now, const std::string &Address,
+                     std::uint32_t Events);
+  void serveIncoming(Instant Now, std::uint64_t Id, std::uint32_t Events);
+  void dropIncoming(std::uint64_t Id);
 
   std::unique_ptr<internal::TransportContext> m_context;
   internal::Descriptor m_listener;
@@ -109,10 +117,17 @@
   std::map<std::string, std::shared_ptr<SendQueue>>
       m_queues ABSL_GUARDED_BY(m_lock);
   bool m_queuesChanged ABSL_GUARDED_BY(m_lock) = false;
+  /// Addresses with messages queued since the I/O thread last looked.
+  std::set<std::string> m_queued ABSL_GUARDED_BY(m_lock);
 
   // Used by the I/O thread only.
+  /// Watched sockets, by an identifier that is never used twice.
+  std::unique_ptr<internal::PeerPoll> m_poll;
   OutgoingMap m_outgoing;
-  std::list<std::unique_ptr<internal::IncomingPeer>> m_incoming;
+  std::map<std::uint64_t, std::string> m_outgoingById;
+  /// In the order of acceptance.
+  std::map<std::uint64_t, std::unique_ptr<internal::IncomingPeer>> m_incoming;
+  Instant m_nextTick = absl::InfinitePast();
 
   std::thread m_thread;
 };
