Wait for the first event of a long prompt before a target counts as stalled

Cause: StallDetector took a target for stalled when its streams of this node had sent nothing for 0.6 s, and moved them after 1.2 s. With hundreds of entry nodes a node often has one stream at a target; a prompt of 20,000 tokens takes longer than that to read, so a sound stream was cut, its retry used up and its prompt read again elsewhere.

Change: longestFirstEvent works out from the published costs of the engine when a sound target, busy with other prompts, has sent the first event; until then a target whose streams have all sent nothing is not silent.

Test: "a target that reads a long prompt is not abandoned".

--- a/packages/catalog/turmericdyke/src/Catalog/Catalog.h
+++ b/packages/catalog/turmericdyke/src/Catalog/Catalog.h
@@ -79,6 +79,8 @@
   /// Per 1,000 tokens of context.
   absl::Duration m_stepTimePerContext = absl::ZeroDuration();
   double m_prefillTokensPerSecond = 1;
+  /// Added for each million pairs of a prompt token and any earlier one.
+  absl::Duration m_prefillTimePerMillionPairs = absl::ZeroDuration();
   /// Prompt tokens processed in one step at most.
   std::int64_t m_prefillChunk = 1;
   absl::Duration m_openTime = absl::ZeroDuration();
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -7,6 +7,7 @@
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Entry/EntryServices.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
+#include "turmericdyke/src/Serving/PromptTime.h"
 
 namespace turmericdyke {
 
@@ -217,10 +218,22 @@
   m_staleConnection = false;
   m_stallTracked = m_route->m_kind == RouteKind::Stream;
   if (m_stallTracked)
-    m_services.m_stalls.streamStarted(m_attemptStarted, Target.m_id);
+    m_services.m_stalls.streamStarted(m_attemptStarted, Target.m_id,
+                                      firstEventTime(Target));
   m_connection->call(std::move(Bytes), Request.m_method == "HEAD", *this);
 }
 
+absl::Duration
+EntryExchange::firstEventTime(const ServingTarget &Target) const {
+  const ServiceEntry *Service = m_routes->catalog().service(Target.m_service);
+  const EngineModel *Model = Service != nullptr && Service->m_engine
+                                 ? Service->m_engine->model(Target.m_model)
+                                 : nullptr;
+  return Model == nullptr ? absl::ZeroDuration()
+                          : longestFirstEvent(*Service->m_engine, *Model,
+                                              m_caller.m_promptTokens);
+}
+
 std::unique_ptr<HttpClientConnection> EntryExchange::releaseTarget() {
   if (std::exchange(m_stallTracked, false))
     m_services.m_stalls.streamEnded(m_target.m_id, m_eventRelayed);
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -49,6 +49,8 @@
   std::vector<PlacementOption> placementOptions() const;
   void attempt();
   void send(const ServingTarget &Target);
+  /// When a sound target has sent the first event of the response.
+  absl::Duration firstEventTime(const ServingTarget &Target) const;
   void finishAttempt(AttemptOutcome Outcome);
   std::unique_ptr<HttpClientConnection> releaseTarget();
   /// Ends the current attempt without waiting for the rest of its response.
--- a/packages/serving/test/ServingTest.cpp
+++ b/packages/serving/test/ServingTest.cpp
@@ -313,3 +313,38 @@
   CHECK(Shortest >= Input.m_meanRunTime);
   CHECK(Longest - Shortest >= absl::Milliseconds(300));
 }
+
+// Guards against a long prompt that is cut off while its target still reads it:
+// a node whose only stream at the target has sent nothing yet took the target
+// for stalled after 1.2 s, moved the stream and had the prompt read again.
+TEST_CASE("a target that reads a long prompt is not abandoned") {
+  EngineCosts Engine;
+  Engine.m_slots = 14;
+  Engine.m_stepsPerPass = 8;
+  Engine.m_stepTime = absl::Microseconds(7800);
+  Engine.m_stepTimePerRequest = absl::Microseconds(95);
+  Engine.m_prefillTokensPerSecond = 45'900;
+  Engine.m_prefillTimePerMillionPairs = absl::Microseconds(433);
+  Engine.m_prefillChunk = 2048;
+  EngineModel Model;
+  absl::Duration Short = longestFirstEvent(Engine, Model, 700);
+  absl::Duration Long = longestFirstEvent(Engine, Model, 20'000);
+  CHECK(Short < absl::Milliseconds(600));
+  CHECK(Long > absl::Seconds(2));
+  StallDetector Stalls;
+  TargetId Target("t");
+  Stalls.streamStarted(Start, Target, Long);
+  CHECK(Stalls.stalled(Start + absl::Milliseconds(1500)).empty());
+  std::vector<StallDetector::Stall> Late =
+      Stalls.stalled(Start + Long + absl::Milliseconds(10));
+  REQUIRE(Late.size() == 1);
+  CHECK(Late.front().m_abandon);
+  // Once events flow, silence counts as before.
+  StallDetector Flowing;
+  Flowing.streamStarted(Start, Target, Long);
+  Flowing.streamProgressed(Start + absl::Milliseconds(100), Target, true);
+  std::vector<StallDetector::Stall> Stalled =
+      Flowing.stalled(Start + absl::Milliseconds(1400));
+  REQUIRE(Stalled.size() == 1);
+  CHECK(Stalled.front().m_abandon);
+}
--- a/packages/serving/turmericdyke/src/Serving/StallDetector.cpp
+++ b/packages/serving/turmericdyke/src/Serving/StallDetector.cpp
@@ -1,16 +1,25 @@
 #include "turmericdyke/src/Serving/StallDetector.h"
 
+#include <algorithm>
+
 namespace turmericdyke {
 
 StallDetector::StallDetector(StallDetectorOptions Options)
     : m_options(Options) {}
 
-void StallDetector::streamStarted(Instant Now, const TargetId &Target) {
+void StallDetector::streamStarted(Instant Now, const TargetId &Target,
+                                  absl::Duration FirstEvent) {
   auto [At, New] = m_targets.try_emplace(Target);
   // A new stream is no evidence that a stalled target works.
   if (New)
     At->second.m_progress = Now;
   ++At->second.m_streams;
+  At->second.m_firstEventsBy =
+      std::max(At->second.m_firstEventsBy, Now + FirstEvent);
+}
+
+bool StallDetector::isReading(Instant Now, const TargetState &State) {
+  return State.m_flowing == 0 && Now < State.m_firstEventsBy;
 }
 
 void StallDetector::streamProgressed(Instant Now, const TargetId &Target,
@@ -55,6 +64,8 @@
 }
 
 bool StallDetector::mayAbandon(Instant Now, const TargetState &State) const {
+  if (!State.m_closedToNew && isReading(Now, State))
+    return false;
   return Now - State.m_progress >= (State.m_closedToNew
                                         ? m_options.m_abandonEndedAfter
                                         : m_options.m_abandonAfter);
@@ -64,7 +75,8 @@
   std::vector<Stall> Stalls;
   for (auto &[Target, State] : m_targets) {
     bool Abandon = mayAbandon(Now, State);
-    bool Silent = Now - State.m_progress >= m_options.m_stalledAfter;
+    bool Silent = !isReading(Now, State) &&
+                  Now - State.m_progress >= m_options.m_stalledAfter;
     bool Suspect = State.m_flowing > 0 &&
                    Now - State.m_progress >= m_options.m_suspectAfter;
     // Streams that can be moved do not wait for the next report.
--- a/packages/serving/turmericdyke/src/Serving/StallDetector.h
+++ b/packages/serving/turmericdyke/src/Serving/StallDetector.h
@@ -39,8 +39,11 @@
 public:
   explicit StallDetector(StallDetectorOptions Options = {});
 
-  /// A request for a stream was sent to the target.
-  void streamStarted(Instant Now, const TargetId &Target);
+  /// A request for a stream was sent to the target. Its first event is not
+  /// expected before `FirstEvent`: a long prompt takes seconds to read, and a
+  /// node whose only stream there is such a one sees no other event.
+  void streamStarted(Instant Now, const TargetId &Target,
+                     absl::Duration FirstEvent = absl::ZeroDuration());
   /// A stream of the target has sent data. `First` is set for the first event
   /// of the stream.
   void streamProgressed(Instant Now, const TargetId &Target, bool First);
@@ -67,12 +70,16 @@
 private:
   struct TargetState;
   bool mayAbandon(Instant Now, const TargetState &State) const;
+  /// Whether the target may still be reading the prompts of all its streams.
+  static bool isReading(Instant Now, const TargetState &State);
 
   struct TargetState {
     int m_streams = 0;
     /// Streams that have sent data.
     int m_flowing = 0;
     Instant m_progress;
+    /// When the first events of all streams are due.
+    Instant m_firstEventsBy = absl::InfinitePast();
     Instant m_lastReported = absl::InfinitePast();
     bool m_closedToNew = false;
   };
