Sync what an earlier process wrote before it is relied on

Cause: a coordinator killed between a write and its sync leaves log entries, or a renamed hard state, that the next process can read. It acknowledged such entries to the leader without syncing them; a loss of power then took them away, although the leader had counted them as durable.

Change: opening the data directory syncs the last segment and the directory.

Result: the test "what an earlier process left unsynced is synced before it is used" fails without the call (seen) and passes now.

--- a/packages/storage/test/DataDirectoryTest.cpp
+++ b/packages/storage/test/DataDirectoryTest.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,28 @@
   }
 };
 
+/// Writes, but never gets to sync what it wrote once `m_killed` is set.
+struct KilledBeforeSync : FileInterface {
+  bool m_killed = false;
+  int fdatasync(int File) override {
+    errno = EIO;
+    return m_killed ? -1 : FileInterface::fdatasync(File);
+  }
+};
+
+/// Records which files were synced.
+struct RecordingFiles : FileInterface {
+  std::set<std::string> m_synced;
+
+  int record(int File) {
+    std::string Link = fmt::format("/proc/self/fd/{}", File);
+    m_synced.insert(std::filesystem::read_symlink(Link).filename());
+    return 0;
+  }
+  int fdatasync(int File) override { return record(File); }
+  int fsync(int File) override { return record(File); }
+};
+
 constexpr DataDirectoryOptions SmallSegments{150};
 
 Result<DataDirectory, StorageError> open(const Folder &At,
@@ -329,3 +352,31 @@
   });
   CHECK(Held);
 }
+
+// Guards against an acknowledged entry that is lost: the process is killed
+// after it wrote the entry and before the sync, the next one reads it and
+// acknowledges it, and then the host loses power.
+TEST_CASE("what an earlier process left unsynced is synced before it is used") {
+  Folder At;
+  fill(At);
+  {
+    KilledBeforeSync Killed;
+    auto Data = open(At, Killed);
+    REQUIRE(Data);
+    PersistentState State = Data.value().load();
+    RaftActions Entry;
+    Entry.m_entries = {entry(State.m_entries.back().m_index + 1,
+                             State.m_entries.back().m_term)};
+    Killed.m_killed = true;
+    CHECK_FALSE(Data.value().persist(Entry).has_value());
+  }
+  std::string Last;
+  for (const auto &[Name, Bytes] : At.files())
+    if (Name.rfind("log-", 0) == 0)
+      Last = std::max(Last, Name);
+  RecordingFiles Files;
+  auto Reopened = open(At, Files);
+  REQUIRE(Reopened);
+  CHECK(Files.m_synced.count(Last) == 1);
+  CHECK(Files.m_synced.count(At.m_path.filename()) == 1);
+}
--- a/packages/storage/turmericdyke/src/Storage/DataDirectory.cpp
+++ b/packages/storage/turmericdyke/src/Storage/DataDirectory.cpp
@@ -93,9 +93,18 @@
                     m_log.read(m_files, Names, m_state.m_snapshot, m_notices));
   m_state.m_entries = std::move(Entries);
   BOOST_OUTCOME_TRYV(checkConsistency());
+  BOOST_OUTCOME_TRYV(syncRead());
   return removeTemporaries(Names);
 }
 
+/// A process that was killed between a write and its sync leaves bytes that can
+/// be read, but that a loss of power still takes away. They must not be relied
+/// on, for example acknowledged to a leader, before they are synced.
+Result<void, StorageError> DataDirectory::syncRead() {
+  BOOST_OUTCOME_TRYV(m_log.syncLast(m_files));
+  return m_files.syncSelf();
+}
+
 Result<void, StorageError>
 DataDirectory::readFormat(const std::vector<std::string> &Names) {
   BOOST_OUTCOME_TRY(Text, m_files.read(internal::FormatFile));
--- a/packages/storage/turmericdyke/src/Storage/DataDirectory.h
+++ b/packages/storage/turmericdyke/src/Storage/DataDirectory.h
@@ -57,6 +57,7 @@
                 DataDirectoryOptions Options);
 
   Result<void, StorageError> readAll();
+  Result<void, StorageError> syncRead();
   Result<void, StorageError> readFormat(const std::vector<std::string> &Names);
   Result<void, StorageError> create(const std::vector<std::string> &Names);
   Result<void, StorageError>
--- a/packages/storage/turmericdyke/src/Storage/Directory.h
+++ b/packages/storage/turmericdyke/src/Storage/Directory.h
@@ -65,9 +65,11 @@
   /// Takes the lock that keeps a second process out.
   Result<FileDescriptor, StorageError> lock(std::string_view Name) const;
 
+  /// Makes names that were created, renamed or removed durable.
+  Result<void, StorageError> syncSelf() const;
+
 private:
   Directory(std::string Path, FileDescriptor Self, FileInterface &Files);
-  Result<void, StorageError> syncSelf() const;
 
   std::string m_path;
   FileDescriptor m_self;
--- a/packages/storage/turmericdyke/src/Storage/SegmentedLog.cpp
+++ b/packages/storage/turmericdyke/src/Storage/SegmentedLog.cpp
@@ -122,6 +122,15 @@
   return {};
 }
 
+Result<void, StorageError>
+SegmentedLog::syncLast(const Directory &Files) const {
+  if (m_segments.empty())
+    return success();
+  std::string Name = segmentName(m_segments.back().m_number);
+  BOOST_OUTCOME_TRY(File, Files.openForAppend(Name));
+  return Files.syncData(File, Name);
+}
+
 Result<void, StorageError> SegmentedLog::startSegment(const Directory &Files) {
   bool Continue = !m_segments.empty() && m_activeBytes < m_segmentBytes;
   if (Continue && m_active.isOpen())
--- a/packages/storage/turmericdyke/src/Storage/SegmentedLog.h
+++ b/packages/storage/turmericdyke/src/Storage/SegmentedLog.h
@@ -30,6 +30,10 @@
   read(const Directory &Files, const std::vector<std::string> &Names,
        const Snapshot &Base, std::vector<std::string> &Notices);
 
+  /// Syncs the last segment, the only one that may hold bytes which an earlier
+  /// process wrote but did not sync.
+  Result<void, StorageError> syncLast(const Directory &Files) const;
+
   /// Appends and syncs.
   Result<void, StorageError> append(const Directory &Files,
                                     absl::Span<const LogEntry> Entries);
