--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -127,8 +127,22 @@
     pushFeed();
 }
 
+void CoordinatorNode::logRelaying(Instant Now) {
+  bool Relays = m_ledTerm == 0 && m_feedRelay.isFresh(Now);
+  if (Relays == m_relaying)
+    return;
+  m_relaying = Relays;
+  LogLine(LogLevel::Info, Relays ? "relay_begun" : "relay_ended")
+      .field("node", m_settings.m_name)
+      .field("leader", m_core ? m_core->raft().leader() : NodeId())
+      .field("leads", m_ledTerm != 0)
+      .field("term", m_feedRelay.term())
+      .field("entries", m_feed.entryNodes(Now));
+}
+
 void CoordinatorNode::tickRelay() {
   Instant Now = monotonicNow();
+  logRelaying(Now);
   m_loop.cancel(m_relayTimer);
   const NodeId Leader = m_core ? m_core->raft().leader() : NodeId();
   if (m_ledTerm == 0 && !Leader.empty() && Leader != m_self) {
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -78,6 +78,8 @@
   void tickRoster();
   /// Sends the next feed request and the collected announcements to the leader.
   void tickRelay();
+  /// Logs when this node begins or ends to relay.
+  void logRelaying(Instant Now);
   void applyState();
   bool leads() const;
 
@@ -186,6 +188,7 @@
   FeedRelay m_feedRelay;
   AnnouncementRelay m_announcementRelay;
   EventLoop::Timer m_relayTimer;
+  bool m_relaying = false;
   DirectoryCopy m_directoryCopy;
   Instant m_copyUpdated = absl::InfinitePast();
 
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -186,6 +186,13 @@
           .field("coordinator", Outgoing.m_coordinator)
           .field("reason", Sent.error().m_message);
   }
+  if (m_feed->source() != m_loggedSource) {
+    m_loggedSource = m_feed->source();
+    LogLine(LogLevel::Info, "feed_source")
+        .field("source", m_loggedSource)
+        .field("leader", m_feed->leader())
+        .field("term", m_feed->term());
+  }
   m_loop.cancel(m_feedTimer);
   m_feedTimer = m_loop.at(m_feed->nextTick(), [this] { tickFeed(); });
 }
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.h
@@ -64,6 +64,7 @@
   std::unique_ptr<HttpServer> m_metricsServer;
   std::unique_ptr<PeerTransport> m_transport;
   EventLoop::Timer m_feedTimer;
+  NodeId m_loggedSource;
   std::vector<TargetId> m_suspects;
   bool m_informed = false;
   bool m_stopping = false;
