Relay only for large fleets, within the failure domain, and at once for changes

What a node knows of the others' requests was older by the relay's interval, and changes of a server's state reached the leader up to 0.1 s later.

Change: the leader serves up to 100 entry nodes and 300 servers itself. Beyond that a relay asks the leader every 50 ms, passes a changed announcement on within 20 ms, and feeds the entry nodes and servers of its own failure domain.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -104,12 +104,13 @@
   m_metrics.increment("turmericdyke_announcements_total");
   if (!Leads) {
     m_announcementRelay.add(Announcement, m_directoryCopy);
+    if (m_announcementRelay.hasChanges())
+      relaySoon();
     return Exchange->respond(
-        announcementResponse(Announcement.m_id, m_directoryCopy.size()));
+        announcementResponse(Announcement, m_directoryCopy.size()));
   }
   accept(Announcement);
-  Exchange->respond(
-      announcementResponse(Announcement.m_id, m_servers.all().size()));
+  Exchange->respond(announcementResponse(Announcement, m_servers.all().size()));
 }
 
 void CoordinatorNode::accept(const ServerAnnouncement &Announcement) {
@@ -144,12 +145,15 @@
          m_directoryCopy.term() == m_feedRelay.term();
 }
 
-HttpResponse CoordinatorNode::announcementResponse(const TargetId &Id,
-                                                   std::size_t Servers) const {
+HttpResponse
+CoordinatorNode::announcementResponse(const ServerAnnouncement &Announcement,
+                                      std::size_t Servers) const {
   NodeId Leader = m_core->raft().leader();
   NodeId Assigned = assignedCoordinator(
-      Id.str(), static_cast<std::int64_t>(Servers),
-      Leader.empty() ? m_self : Leader, m_roster.live(monotonicNow()));
+      {Announcement.m_id.str(), Announcement.m_failureDomain},
+      static_cast<std::int64_t>(Servers), MaxServersOfLeader,
+      Leader.empty() ? m_self : Leader, m_roster.live(monotonicNow()),
+      m_roster.domains());
   return m_protocol.announcementResponse(controlAddressOf(Assigned));
 }
 
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -60,6 +60,7 @@
   Result<RosterMessage, PeerError> Parsed = decodeRoster(Message.m_bytes);
   if (!Parsed)
     return m_metrics.increment("turmericdyke_peer_messages_refused_total");
+  m_roster.setDomain(Message.m_from, Parsed.value().m_failureDomain);
   for (const NodeId &Node : Parsed.value().m_known)
     m_roster.discovered(monotonicNow(), Node);
   if (m_ledTerm == 0)
@@ -108,7 +109,7 @@
   } else {
     m_feedRelay.collect(Now, Request);
     if (m_feedRelay.nextRequest() <= Now)
-      tickRelay();
+      relaySoon();
   }
   FeedUpdate Update = m_feed.respond(Now, Request, feedContext());
   // A lost response is requested again.
@@ -155,14 +156,23 @@
                                 PeerMessageKind::AnnouncementBatch,
                                 encode(m_announcementRelay.take()));
   }
-  Instant Next =
-      std::max(m_feedRelay.nextRequest(), Now + internal::RelayPause);
-  m_relayTimer = m_loop.at(Next, [this] { tickRelay(); });
+  m_lastRelayed = Now;
+  m_relayTimer =
+      m_loop.at(std::max(m_feedRelay.nextRequest(), Now + internal::RelayPause),
+                [this] { tickRelay(); });
+}
+
+void CoordinatorNode::relaySoon() {
+  m_loop.cancel(m_relayTimer);
+  m_relayTimer =
+      m_loop.at(std::max(monotonicNow(), m_lastRelayed + internal::RelayPause),
+                [this] { tickRelay(); });
 }
 
 void CoordinatorNode::tickRoster() {
   Instant Now = monotonicNow();
   RosterMessage Message;
+  Message.m_failureDomain = m_settings.m_failureDomain;
   Message.m_known = m_roster.live(Now);
   Message.m_directoryTerm = m_directoryCopy.term();
   Message.m_directorySequence = m_directoryCopy.sequence();
@@ -205,6 +215,7 @@
   Instant Now = monotonicNow();
   FeedContext Context;
   Context.m_coordinators = m_roster.live(Now);
+  Context.m_domains = m_roster.domains();
   if (!m_core)
     return Context;
   Context.m_term = m_core->raft().term();
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -124,6 +124,7 @@
       .field("first_start", m_settings.m_firstStart)
       .field("empty", m_directory->isEmpty());
   m_roster.addSeeds(monotonicNow(), m_settings.m_seeds);
+  m_roster.setDomain(m_self, m_settings.m_failureDomain);
   tickRoster();
   tickRelay();
   if (m_directory->isEmpty()) {
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -78,6 +78,9 @@
   void tickRoster();
   /// Sends the next feed request and the collected announcements to the leader.
   void tickRelay();
+  /// Makes the next message to the leader due, but not within `RelayPause` of
+  /// the last one.
+  void relaySoon();
   /// Logs when this node begins or ends to relay.
   void logRelaying(Instant Now);
   void applyState();
@@ -97,7 +100,7 @@
   /// Whether this node takes the announcement on behalf of the leader.
   bool mayRelay(const ServerAnnouncement &Announcement) const;
   /// The response to an announcement. `Servers` is the number of known servers.
-  HttpResponse announcementResponse(const TargetId &Id,
+  HttpResponse announcementResponse(const ServerAnnouncement &Announcement,
                                     std::size_t Servers) const;
   std::string controlAddressOf(const NodeId &Node) const;
   void onMetrics(const std::shared_ptr<ServerExchange> &Exchange);
@@ -188,6 +191,7 @@
   FeedRelay m_feedRelay;
   AnnouncementRelay m_announcementRelay;
   EventLoop::Timer m_relayTimer;
+  Instant m_lastRelayed = absl::InfinitePast();
   bool m_relaying = false;
   DirectoryCopy m_directoryCopy;
   Instant m_copyUpdated = absl::InfinitePast();
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
@@ -12,6 +12,7 @@
 struct CoordinatorSettings {
   /// Name in logs.
   std::string m_name;
+  FailureDomainId m_failureDomain;
   /// IP:port for operators and for servers that announce themselves. All
   /// coordinators use the same port.
   std::string m_controlAddress;
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -33,8 +33,9 @@
 
 EntryNode::EntryNode(EntrySettings Settings, const EntryProtocol &Protocol)
     : m_settings(std::move(Settings)), m_protocol(Protocol) {
-  m_feed = std::make_unique<FeedFollower>(NodeId(m_settings.m_peerAddress),
-                                          m_settings.m_seeds);
+  m_feed = std::make_unique<FeedFollower>(
+      NodeId(m_settings.m_peerAddress), m_settings.m_seeds,
+      FeedFollowerOptions(), m_settings.m_failureDomain);
   m_pool = std::make_unique<HttpClientPool>(
       m_loop, ClientConnectionOptions(), [this] {
         m_services->m_metrics.increment("turmericdyke_target_connects_total");
--- a/packages/feed/turmericdyke/src/Feed/AnnouncementRelay.h
+++ b/packages/feed/turmericdyke/src/Feed/AnnouncementRelay.h
@@ -17,6 +17,8 @@
 public:
   /// Adds an announcement. `Copy` is the copy of the leader's directory.
   void add(const ServerAnnouncement &Announcement, const DirectoryCopy &Copy);
+  /// Whether a server's state has changed. The leader should know soon.
+  bool hasChanges() const { return !m_changed.empty(); }
   bool empty() const { return m_changed.empty() && m_unchanged.empty(); }
   /// Returns what was added since the last call.
   AnnouncementBatch take();
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
@@ -8,6 +8,11 @@
                                      CoordinatorRosterOptions Options)
     : m_self(std::move(Self)), m_options(Options) {}
 
+void CoordinatorRoster::setDomain(const NodeId &Node,
+                                  const FailureDomainId &Domain) {
+  m_domains[Node] = Domain;
+}
+
 void CoordinatorRoster::heardFrom(Instant Now, const NodeId &From) {
   if (From == m_self)
     return;
@@ -82,6 +87,9 @@
 }
 
 void CoordinatorRoster::expire(Instant Now, absl::Span<const NodeId> Voters) {
+  std::erase_if(m_domains, [this](const auto &Entry) {
+    return Entry.first != m_self && !m_known.contains(Entry.first);
+  });
   std::erase_if(m_known, [&](const auto &Entry) {
     return Now - std::max(Entry.second.m_lastHeard,
                           Entry.second.m_discovered) >=
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
@@ -7,6 +7,7 @@
 #include "absl/types/span.h"
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Base/StringId.h"
+#include "turmericdyke/src/Feed/FeedAssignment.h"
 
 namespace turmericdyke {
 
@@ -30,6 +31,9 @@
 public:
   CoordinatorRoster(NodeId Self, CoordinatorRosterOptions Options);
 
+  /// Records where a coordinator runs.
+  void setDomain(const NodeId &Node, const FailureDomainId &Domain);
+  const CoordinatorDomains &domains() const { return m_domains; }
   /// Records a message from a coordinator.
   void heardFrom(Instant Now, const NodeId &From);
   /// Records that another coordinator listed this one.
@@ -56,6 +60,7 @@
   NodeId m_self;
   CoordinatorRosterOptions m_options;
   std::map<NodeId, KnownNode> m_known;
+  CoordinatorDomains m_domains;
 };
 
 } // namespace turmericdyke
--- a/packages/feed/turmericdyke/src/Feed/FeedAssignment.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedAssignment.cpp
@@ -1,14 +1,13 @@
 #include "turmericdyke/src/Feed/FeedAssignment.h"
 
 #include <string_view>
+#include <utility>
 
 namespace turmericdyke {
 
 namespace internal {
 namespace {
 
-/// Up to this many clients the leader serves them itself, which saves a hop.
-constexpr std::int64_t MaxClientsOfLeader = 40;
 /// With fewer relays than this, the loss of one would move too many clients at
 /// once.
 constexpr std::size_t MinRelays = 2;
@@ -31,24 +30,28 @@
 } // namespace
 } // namespace internal
 
-NodeId assignedCoordinator(std::string_view Client, std::int64_t Clients,
-                           const NodeId &Leader,
-                           absl::Span<const NodeId> Coordinators) {
-  if (Clients <= internal::MaxClientsOfLeader ||
-      Coordinators.size() < internal::MinRelays + 1)
+NodeId assignedCoordinator(const FeedClient &Client, std::int64_t Clients,
+                           std::int64_t MaxOfLeader, const NodeId &Leader,
+                           absl::Span<const NodeId> Coordinators,
+                           const CoordinatorDomains &Domains) {
+  if (Clients <= MaxOfLeader || Coordinators.size() < internal::MinRelays + 1)
     return Leader;
-  const NodeId *Best = &Leader;
-  std::uint64_t BestHash = 0;
+  NodeId Best = Leader;
+  // Compared by failure domain first, then by hash.
+  std::pair<bool, std::uint64_t> BestRank;
   for (const NodeId &Node : Coordinators) {
     if (Node == Leader)
       continue;
-    std::uint64_t Hash = internal::stableHash(Client, Node.str());
-    if (Best != &Leader && Hash <= BestHash)
+    auto Domain = Domains.find(Node);
+    bool Near =
+        Domain != Domains.end() && Domain->second == Client.m_failureDomain;
+    std::pair Rank(Near, internal::stableHash(Client.m_name, Node.str()));
+    if (Best != Leader && Rank <= BestRank)
       continue;
-    Best = &Node;
-    BestHash = Hash;
+    Best = Node;
+    BestRank = Rank;
   }
-  return *Best;
+  return Best;
 }
 
 } // namespace turmericdyke
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -20,9 +20,10 @@
 } // namespace internal
 
 FeedFollower::FeedFollower(NodeId Self, std::vector<NodeId> Seeds,
-                           FeedFollowerOptions Options)
-    : m_self(std::move(Self)), m_options(Options),
-      m_coordinators(std::move(Seeds)) {
+                           FeedFollowerOptions Options,
+                           FailureDomainId FailureDomain)
+    : m_self(std::move(Self)), m_failureDomain(std::move(FailureDomain)),
+      m_options(Options), m_coordinators(std::move(Seeds)) {
   assert(!m_coordinators.empty() && "an entry node needs at least one seed");
 }
 
@@ -59,6 +60,7 @@
   }
   FeedRequest Request;
   Request.m_node = m_self;
+  Request.m_failureDomain = m_failureDomain;
   Request.m_sentAtMicros = absl::ToUnixMicros(Now);
   Request.m_term = m_term;
   Request.m_sequence = m_sequence;
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -49,7 +49,8 @@
   /// `Seeds` are the addresses of coordinators, which are also their
   /// identifiers.
   FeedFollower(NodeId Self, std::vector<NodeId> Seeds,
-               FeedFollowerOptions Options = {});
+               FeedFollowerOptions Options = {},
+               FailureDomainId FailureDomain = FailureDomainId());
 
   struct OutgoingRequest {
     NodeId m_coordinator;
@@ -94,6 +95,7 @@
   void endTarget(const TargetId &Id, FeedChange &Change);
 
   NodeId m_self;
+  FailureDomainId m_failureDomain;
   FeedFollowerOptions m_options;
   std::vector<NodeId> m_coordinators;
   std::size_t m_nextCoordinator = 0;
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -4,7 +4,6 @@
 #include <set>
 
 #include "turmericdyke/src/Base/Compression.h"
-#include "turmericdyke/src/Feed/FeedAssignment.h"
 
 namespace turmericdyke {
 
@@ -199,8 +198,10 @@
   Update.m_source =
       State.m_relay
           ? Context.m_leader
-          : assignedCoordinator(To.str(), Update.m_entries, Context.m_leader,
-                                Context.m_coordinators);
+          : assignedCoordinator({To.str(), State.m_failureDomain},
+                                Update.m_entries, MaxEntryNodesOfLeader,
+                                Context.m_leader, Context.m_coordinators,
+                                Context.m_domains);
   fillTargets(State, Update);
   Update.m_routingVersion = Context.m_routingVersion;
   if (documentDue(Now, State, Context)) {
@@ -224,6 +225,7 @@
   Subscriber &State = m_subscribers[Request.m_node];
   State.m_lastHeard = Now;
   State.m_relay = Request.m_relay;
+  State.m_failureDomain = Request.m_failureDomain;
   State.m_entries = Request.m_relay
                         ? std::max<std::int64_t>(0, Request.m_entries)
                         : (Request.m_stopping ? 0 : 1);
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
@@ -7,6 +7,7 @@
 
 #include "absl/types/span.h"
 #include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Feed/FeedAssignment.h"
 #include "turmericdyke/src/Fleet/FeedMessage.h"
 
 namespace turmericdyke {
@@ -28,6 +29,7 @@
   bool m_routingConfirmed = true;
   const std::string *m_routingDocument = nullptr;
   std::vector<NodeId> m_coordinators;
+  CoordinatorDomains m_domains;
   /// Number of entry nodes of the whole system, as reported by the leader; set
   /// for a relay.
   std::int64_t m_entries = 0;
@@ -82,6 +84,7 @@
     Instant m_lastHeard;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_routingVersion = 0;
+    FailureDomainId m_failureDomain;
     std::vector<TargetUse> m_uses;
     /// Entry nodes that the subscriber stands for: one, or those of a relay.
     std::int64_t m_entries = 1;
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.h
@@ -14,7 +14,7 @@
 
 struct FeedRelayOptions {
   /// Interval between requests to the leader.
-  absl::Duration m_interval = absl::Milliseconds(100);
+  absl::Duration m_interval = absl::Milliseconds(50);
   /// Knowledge older than this is not passed on.
   absl::Duration m_maxAge = absl::Milliseconds(700);
 };
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -128,13 +128,15 @@
 }
 
 nlohmann::json toJson(const RosterMessage &Message) {
-  return {{"known", internal::listJson(Message.m_known)},
+  return {{"failure_domain", Message.m_failureDomain.str()},
+          {"known", internal::listJson(Message.m_known)},
           {"directory_term", Message.m_directoryTerm},
           {"directory_sequence", Message.m_directorySequence}};
 }
 
 nlohmann::json toJson(const FeedRequest &Message) {
   return {{"node", Message.m_node.str()},
+          {"failure_domain", Message.m_failureDomain.str()},
           {"relay", Message.m_relay},
           {"entries", Message.m_entries},
           {"sent_us", Message.m_sentAtMicros},
@@ -172,7 +174,8 @@
 parseRosterMessage(const nlohmann::json &Value) {
   RosterMessage Read;
   internal::JsonReader Reader(Value);
-  Reader.number("directory_term", Read.m_directoryTerm)
+  Reader.id("failure_domain", Read.m_failureDomain)
+      .number("directory_term", Read.m_directoryTerm)
       .number("directory_sequence", Read.m_directorySequence);
   internal::readList(Reader, "known", Read.m_known);
   return internal::makeResult(Reader, Read);
@@ -182,6 +185,7 @@
   FeedRequest Read;
   internal::JsonReader Reader(Value);
   Reader.id("node", Read.m_node, true)
+      .id("failure_domain", Read.m_failureDomain)
       .flag("relay", Read.m_relay)
       .number("entries", Read.m_entries)
       .number("sent_us", Read.m_sentAtMicros)
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -17,6 +17,8 @@
 /// Sent periodically between coordinators: the coordinators that the sender
 /// knows.
 struct RosterMessage {
+  /// Where the sender runs.
+  FailureDomainId m_failureDomain;
   std::vector<NodeId> m_known;
   /// Term and sequence of the sender's copy of the server directory.
   std::uint64_t m_directoryTerm = 0;
@@ -51,6 +53,7 @@
 /// leader: the state that it holds and the targets that it uses.
 struct FeedRequest {
   NodeId m_node;
+  FailureDomainId m_failureDomain;
   /// The sender is a coordinator that relays the feed to entry nodes.
   bool m_relay = false;
   /// Number of entry nodes that a relay serves and that are not stopping.
