Count each entry node once, and let each node hold one retry

Nodes that ask other coordinators for help while the leader changes were counted there too; relays reported them, the sum passed the limit for relays, and all nodes moved back and forth between leader and relays, counted twice. The retry budget of a node is the slack shared by that number, and below one token a node never retries. On the large site this held at all times: 672 * 0.35 / 295 = 0.8.

Change: a request says whether the receiver is the sender's source; another coordinator answers and forgets the sender. A node's budget holds at least one token while one token for each node and the refill stay within the slack. The pause after a planning step is at most 0.1 s, as a step may be interrupted.

Ruled out: the age of counts at relays alone; with the leader serving all nodes of this site the loss stayed.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -19,6 +19,8 @@
 /// that it uses a bounded part of the processor while the fleet changes
 /// constantly.
 constexpr double PlanPauseFactor = 5;
+/// A step that was interrupted says little about its cost.
+constexpr absl::Duration MaxPlanPause = absl::Milliseconds(100);
 /// Servers respond to an order at once; after this time the order may have been
 /// lost.
 constexpr absl::Duration OrderTimeout = absl::Milliseconds(800);
@@ -183,7 +185,8 @@
   }
   publishTargets();
   Instant Ended = monotonicNow();
-  m_planNotBefore = Ended + (Ended - Now) * internal::PlanPauseFactor;
+  m_planNotBefore = Ended + std::min((Ended - Now) * internal::PlanPauseFactor,
+                                     internal::MaxPlanPause);
   m_metrics.observe("turmericdyke_plan_seconds",
                     absl::ToDoubleSeconds(Ended - Now), {});
   planAt(Now + internal::PlanInterval);
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -453,3 +453,27 @@
   CHECK(Batch.m_changed.front().m_sequence == 7);
   CHECK(Relay.empty());
 }
+
+// Guards against a node that two coordinators count after it asked a second one
+// for help: the sum was twice the number of nodes, which halved the budget for
+// retries and moved all nodes back and forth between leader and relays.
+TEST_CASE("a coordinator that is only asked for help does not count the node") {
+  FeedPublisher Publisher;
+  FeedFollower Follower(NodeId("entry"), {NodeId("leader"), NodeId("other")});
+  Publisher.setTargets({target("a")});
+  Follower.receive(
+      Start, Publisher.respond(Start, dueRequest(Follower, Start), context(1)));
+  // The other coordinators are asked in turn; the first one is the source.
+  Instant Later = Start + absl::Seconds(1);
+  Follower.tick(Later);
+  Later += absl::Milliseconds(300);
+  std::vector<FeedFollower::OutgoingRequest> Due = Follower.tick(Later);
+  REQUIRE(Due.size() == 2);
+  FeedPublisher Other;
+  Other.setTargets({target("a")});
+  FeedUpdate Help = Other.respond(Later, Due.back().m_request, context(1));
+  CHECK(Help.m_leads);
+  CHECK(Other.entryNodes(Later) == 0);
+  Publisher.respond(Later, Due.front().m_request, context(1));
+  CHECK(Publisher.entryNodes(Later) == 1);
+}
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -222,18 +222,22 @@
   Update.m_leader = Context.m_leader;
   if (!Context.m_leads && !Context.m_relays)
     return Update;
-  Subscriber &State = m_subscribers[Request.m_node];
+  Subscriber Asking;
+  Subscriber &State =
+      Request.m_follows ? m_subscribers[Request.m_node] : Asking;
   State.m_lastHeard = Now;
   State.m_relay = Request.m_relay;
   State.m_failureDomain = Request.m_failureDomain;
-  State.m_entries = Request.m_relay
-                        ? std::max<std::int64_t>(0, Request.m_entries)
-                        : (Request.m_stopping ? 0 : 1);
+  if (Request.m_relay)
+    State.m_entries = std::max<std::int64_t>(0, Request.m_entries);
+  else
+    State.m_entries = Request.m_stopping ? 0 : 1;
   State.m_routingVersion = Request.m_routingVersion;
   // The sequence numbers of a node that follows another term are meaningless in
   // this one.
   State.m_sequence = Request.m_term == Context.m_term ? Request.m_sequence : 0;
-  setUses(State, Request.m_uses);
+  if (Request.m_follows)
+    setUses(State, Request.m_uses);
   m_trafficSeen = m_trafficSeen || Request.m_modelRequests > 0;
   removeSilent(Now);
   fillUpdate(Now, Request.m_node, State, Context, Update);
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -137,6 +137,7 @@
 nlohmann::json toJson(const FeedRequest &Message) {
   return {{"node", Message.m_node.str()},
           {"failure_domain", Message.m_failureDomain.str()},
+          {"follows", Message.m_follows},
           {"relay", Message.m_relay},
           {"entries", Message.m_entries},
           {"sent_us", Message.m_sentAtMicros},
@@ -186,6 +187,7 @@
   internal::JsonReader Reader(Value);
   Reader.id("node", Read.m_node, true)
       .id("failure_domain", Read.m_failureDomain)
+      .flag("follows", Read.m_follows)
       .flag("relay", Read.m_relay)
       .number("entries", Read.m_entries)
       .number("sent_us", Read.m_sentAtMicros)
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -54,6 +54,9 @@
 struct FeedRequest {
   NodeId m_node;
   FailureDomainId m_failureDomain;
+  /// The receiver is the sender's source. Other coordinators are only asked for
+  /// help and must not count the sender, or it would be counted twice.
+  bool m_follows = true;
   /// The sender is a coordinator that relays the feed to entry nodes.
   bool m_relay = false;
   /// Number of entry nodes that a relay serves and that are not stopping.
--- a/packages/serving/test/ServingTest.cpp
+++ b/packages/serving/test/ServingTest.cpp
@@ -348,3 +348,31 @@
   REQUIRE(Stalled.size() == 1);
   CHECK(Stalled.front().m_abandon);
 }
+
+// Guards against a large fleet that never retries: the slack of 672 shared by
+// 295 nodes is less than one retry a node, so every stream whose group broke
+// failed. A burst at all nodes must stay within the limit of the window all the
+// same.
+TEST_CASE("each of several hundred nodes can retry within the shared budget") {
+  SharedRetryBudgetOptions Options;
+  Options.m_ratio = 0.2;
+  Options.m_slack = 672;
+  constexpr int Nodes = 295;
+  std::vector<SharedRetryBudget> Budgets(Nodes, SharedRetryBudget(Options));
+  int Requests = 0;
+  int Retries = 0;
+  for (int Tenth = 0; Tenth < 100; ++Tenth) {
+    Instant Now = Start + Tenth * absl::Milliseconds(100);
+    for (SharedRetryBudget &Budget : Budgets) {
+      Budget.setNodes(Nodes);
+      if (Tenth % 3 == 0) {
+        Budget.onRequest(Now);
+        ++Requests;
+      }
+      bool Taken = Budget.tryTake(Now);
+      CHECK((Tenth > 0 || Taken));
+      Retries += Taken ? 1 : 0;
+    }
+  }
+  CHECK(Retries <= 0.2 * Requests + 672);
+}
--- a/packages/serving/turmericdyke/src/Serving/SharedRetryBudget.cpp
+++ b/packages/serving/turmericdyke/src/Serving/SharedRetryBudget.cpp
@@ -21,8 +21,14 @@
     : m_options(Options) {}
 
 double SharedRetryBudget::maxTokens() const {
-  return m_options.m_slack * internal::UsedShare * internal::BurstShare /
-         m_nodes;
+  double Share =
+      m_options.m_slack * internal::UsedShare * internal::BurstShare / m_nodes;
+  // A node that can never hold a whole token can never retry. All nodes may
+  // hold one as long as these and the refill stay within the limit.
+  double Refill =
+      m_options.m_slack * internal::UsedShare * (1 - internal::BurstShare);
+  bool WholeTokensFit = m_nodes + Refill <= m_options.m_slack;
+  return WholeTokensFit ? std::max(1.0, Share) : Share;
 }
 
 void SharedRetryBudget::setNodes(double Nodes) {
