Do not count an entry node before it has a source

Cause: a starting node asks the coordinators in turn, and the relay that answers first counted it for two seconds beside the leader. With 51 to 100 nodes the sum could pass the limit for relays, so that nodes moved between leader and relays.

Change: a request to a coordinator that is not the sender's source is never counted; the response names the source.

--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -73,7 +73,8 @@
   }
   if (m_source.empty() || !Responds) {
     m_nextCoordinator = (m_nextCoordinator + 1) % m_coordinators.size();
-    Request.m_follows = m_source.empty();
+    // The response names the source, which then counts this node.
+    Request.m_follows = false;
     if (m_coordinators[m_nextCoordinator] != m_source)
       Due.push_back({m_coordinators[m_nextCoordinator], Request});
   }
