--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -295,6 +295,7 @@
       else
         Present[Id] = Draw;
       std::vector<ServingTarget> List;
+      List.reserve(Present.size());
       for (const auto &[Name, Generation] : Present)
         List.push_back(target(Name, Generation));
       Leader.setTargets(List);
