Read the known leader in one place, also without a core

Cause: four places worked out the leader, one of them (the response to an announcement) without asking whether there is a core. Found by reading; no test shows it.

Change: CoordinatorNode::leader serves all four.

Checked: build, linter on the three changed sources, the coordinator's cases of platform_test.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -34,7 +34,7 @@
 }
 
 void CoordinatorNode::redirect(ServerExchange &Exchange) {
-  NodeId Leader = m_core ? m_core->raft().leader() : NodeId();
+  NodeId Leader = leader();
   if (Leader.empty() || Leader == m_self)
     return Exchange.respond(
         m_protocol.errorResponse(503, "no leader is known"));
@@ -148,7 +148,7 @@
 HttpResponse
 CoordinatorNode::announcementResponse(const ServerAnnouncement &Announcement,
                                       std::size_t Servers) const {
-  NodeId Leader = m_core->raft().leader();
+  NodeId Leader = leader();
   NodeId Assigned = assignedCoordinator(
       {Announcement.m_id.str(), Announcement.m_failureDomain},
       static_cast<std::int64_t>(Servers), MaxServersOfLeader,
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -135,7 +135,7 @@
   m_relaying = Relays;
   LogLine(LogLevel::Info, Relays ? "relay_begun" : "relay_ended")
       .field("node", m_settings.m_name)
-      .field("leader", m_core ? m_core->raft().leader() : NodeId())
+      .field("leader", leader())
       .field("leads", m_ledTerm != 0)
       .field("term", m_feedRelay.term())
       .field("entries", m_feed.entryNodes(Now));
@@ -145,7 +145,7 @@
   Instant Now = monotonicNow();
   logRelaying(Now);
   m_loop.cancel(m_relayTimer);
-  const NodeId Leader = m_core ? m_core->raft().leader() : NodeId();
+  const NodeId Leader = leader();
   if (m_ledTerm == 0 && !Leader.empty() && Leader != m_self) {
     // Lost requests are followed by the next one, lost announcements by the
     // servers' next ones.
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -326,6 +326,10 @@
   pushFeed();
 }
 
+NodeId CoordinatorNode::leader() const {
+  return m_core ? m_core->raft().leader() : NodeId();
+}
+
 bool CoordinatorNode::leads() const {
   return m_core && m_core->leads(monotonicNow());
 }
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -85,6 +85,8 @@
   void logRelaying(Instant Now);
   void applyState();
   bool leads() const;
+  /// The known leader; empty if there is none, or while storage is reopened.
+  NodeId leader() const;
 
   // Calls of operators and servers.
   void onCall(std::shared_ptr<ServerExchange> Exchange);
