Log which voters are committed and wanted, and why

The log of a lost quorum could not tell whether the voter set still held a lost coordinator: voters_committed named neither the set nor its size. It does now, voters_wanted tells the set that the leader moves to with the silence of each present voter, and the gauge turmericdyke_voters holds the size.

Test: the event of a committed voter set carries the set (RaftTest). No logic changed.

--- a/packages/consensus/test/RaftTest.cpp
+++ b/packages/consensus/test/RaftTest.cpp
@@ -340,8 +340,10 @@
   CHECK(nextVoterSet(Without, Replaced) == Replaced);
   REQUIRE(Change(Without).has_value());
   CHECK(errorKind(Change(Abc)) == ConsensusErrorKind::ChangeInProgress);
-  Node.serve(Node.take());
+  RaftActions Actions = Node.serve(Node.take());
   CHECK(Node.m_raft->commitIndex() == Node.m_raft->lastIndex());
+  REQUIRE(reports(Actions, RaftEventKind::VotersCommitted));
+  CHECK(Actions.m_events.back().m_voters == Without);
 }
 
 TEST_CASE("a leader that loses its majority while removing itself becomes a "
--- a/packages/consensus/turmericdyke/src/Consensus/Raft.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/Raft.cpp
@@ -102,8 +102,9 @@
   m_actions.m_messages.push_back(std::move(Message));
 }
 
-void Raft::report(RaftEventKind Kind, Voter Subject) {
-  m_actions.m_events.push_back({Kind, std::move(Subject)});
+void Raft::report(RaftEventKind Kind, Voter Subject, VoterSet Committed) {
+  m_actions.m_events.push_back(
+      {Kind, std::move(Subject), std::move(Committed)});
 }
 
 } // namespace turmericdyke
--- a/packages/consensus/turmericdyke/src/Consensus/Raft.h
+++ b/packages/consensus/turmericdyke/src/Consensus/Raft.h
@@ -178,7 +178,7 @@
 
   // Shared by all roles, in Raft.cpp.
   void send(RaftMessage Message, const NodeId &To);
-  void report(RaftEventKind Kind, Voter Subject);
+  void report(RaftEventKind Kind, Voter Subject, VoterSet Committed = {});
   bool isDisabled(DisabledCheck Guard) const {
     return m_options.m_disabledCheck == Guard;
   }
--- a/packages/consensus/turmericdyke/src/Consensus/RaftActions.h
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftActions.h
@@ -31,6 +31,8 @@
 struct RaftEvent {
   RaftEventKind m_kind = RaftEventKind::LeadershipGained;
   Voter m_voter;
+  /// Only for `VotersCommitted`: the set that was committed.
+  VoterSet m_voters;
 };
 
 /// Work for the caller, in this order: write and sync the hard state, snapshot
--- a/packages/consensus/turmericdyke/src/Consensus/RaftFollower.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftFollower.cpp
@@ -85,7 +85,7 @@
     return;
   for (LogIndex At = m_commit + 1; At <= Index; ++At)
     if (m_log.at(At).m_kind == EntryKind::Voters)
-      report(RaftEventKind::VotersCommitted, m_self);
+      report(RaftEventKind::VotersCommitted, m_self, m_log.at(At).m_voters);
   m_commit = Index;
 }
 
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Node/CoreCodec.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
@@ -185,13 +187,35 @@
       Voters.push_back(Member.m_node);
       m_roster.discovered(Now, Member.m_node);
     }
-    m_core->setClusterMembers(m_roster.others(),
-                              m_roster.desiredVoters(Now, Voters));
+    std::vector<NodeId> Wanted = m_roster.desiredVoters(Now, Voters);
+    logWantedVoters(Now, Voters, Wanted);
+    m_core->setClusterMembers(m_roster.others(), std::move(Wanted));
     m_roster.expire(Now, Voters);
   }
   m_loop.after(internal::RosterInterval, [this] { tickRoster(); });
 }
 
+void CoordinatorNode::logWantedVoters(Instant Now,
+                                      const std::vector<NodeId> &Voters,
+                                      const std::vector<NodeId> &Wanted) {
+  if (!leads() || Wanted == m_loggedVoters)
+    return;
+  m_loggedVoters = Wanted;
+  auto NameAndSilence = [&](std::string *Out, const NodeId &Node) {
+    absl::StrAppend(Out, Node.str(), ":",
+                    absl::ToInt64Milliseconds(m_roster.silence(Now, Node)));
+  };
+  auto Name = [](std::string *Out, const NodeId &Node) {
+    Out->append(Node.str());
+  };
+  LogLine(LogLevel::Info, "voters_wanted")
+      .field("node", m_settings.m_name)
+      .field("term", m_core->raft().term())
+      .field("wanted", absl::StrJoin(Wanted, ",", Name))
+      .field("voters_silent_ms", absl::StrJoin(Voters, ",", NameAndSilence))
+      .field("live", absl::StrJoin(m_roster.live(Now), ",", Name));
+}
+
 void CoordinatorNode::sendDirectory(const NodeId &Node) {
   std::uint64_t &Sent = m_directorySent[Node];
   DirectoryUpdate Update = m_servers.changesSince(Sent);
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -35,6 +35,13 @@
   return Names[static_cast<std::size_t>(Kind)];
 }
 
+std::string namesOf(const VoterSet &Voters) {
+  return absl::StrJoin(Voters.m_voters, ",",
+                       [](std::string *Out, const Voter &Member) {
+                         Out->append(Member.m_node.str());
+                       });
+}
+
 CoordinatorRosterOptions rosterOptions(const CoordinatorSettings &Settings) {
   CoordinatorRosterOptions Options;
   Options.m_voters = 2 * Settings.m_toleratedLosses + 1;
@@ -258,11 +265,7 @@
 void CoordinatorNode::processOutput(const ControlOutput &Output) {
   sendAll(Output.m_messages);
   for (const RaftEvent &Value : Output.m_events)
-    LogLine(LogLevel::Info, internal::nameOf(Value.m_kind))
-        .field("node", m_settings.m_name)
-        .field("subject", Value.m_voter.m_node)
-        .field("term", m_core->raft().term())
-        .field("commit", m_core->raft().commitIndex());
+    logEvent(Value);
   if (Output.m_stateChanged)
     applyState();
   for (const Completion &Done : Output.m_completions) {
@@ -291,6 +294,19 @@
   }
 }
 
+void CoordinatorNode::logEvent(const RaftEvent &Value) {
+  LogLine Line(LogLevel::Info, internal::nameOf(Value.m_kind));
+  Line.field("node", m_settings.m_name)
+      .field("subject", Value.m_voter.m_node)
+      .field("term", m_core->raft().term())
+      .field("commit", m_core->raft().commitIndex());
+  if (Value.m_kind != RaftEventKind::VotersCommitted)
+    return;
+  std::size_t Size = Value.m_voters.m_voters.size();
+  Line.field("size", Size).field("voters", internal::namesOf(Value.m_voters));
+  m_metrics.set("turmericdyke_voters", static_cast<double>(Size));
+}
+
 void CoordinatorNode::sendAll(const std::vector<AddressedMessage> &Messages) {
   for (const AddressedMessage &Message : Messages) {
     EncodedMessage Encoded = encodeCoreMessage(Message.m_message);
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -67,6 +67,7 @@
   /// Answers the calls whose command has no known outcome.
   void refusePendingPuts();
   void processOutput(const ControlOutput &Output);
+  void logEvent(const RaftEvent &Value);
   void sendAll(const std::vector<AddressedMessage> &Messages);
   void onPeerMessage(const ReceivedMessage &Message);
   void onCoreMessage(const ReceivedMessage &Message);
@@ -76,6 +77,10 @@
   void onFeedRequest(const ReceivedMessage &Message);
   void onFeedUpdate(const ReceivedMessage &Message);
   void tickRoster();
+  /// Logs a change of the voters that this leader moves to, with how long each
+  /// current voter has been silent.
+  void logWantedVoters(Instant Now, const std::vector<NodeId> &Voters,
+                       const std::vector<NodeId> &Wanted);
   /// Sends the next feed request and the collected announcements to the leader.
   void tickRelay();
   /// Makes the next message to the leader due, but not within `RelayPause` of
@@ -157,6 +162,7 @@
   std::optional<CoreDriver> m_driver;
   EventLoop::Timer m_coreTimer;
   CoordinatorRoster m_roster;
+  std::vector<NodeId> m_loggedVoters;
   /// Put calls that wait for their command to be committed, by ticket.
   std::map<std::uint64_t, std::shared_ptr<ServerExchange>> m_pendingPuts;
   /// The routing document in force on this node, parsed and as text.
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
@@ -40,18 +40,16 @@
   return All;
 }
 
-bool CoordinatorRoster::isSilent(Instant Now, const NodeId &Node,
-                                 absl::Duration For) const {
+absl::Duration CoordinatorRoster::silence(Instant Now,
+                                          const NodeId &Node) const {
   if (Node == m_self)
-    return false;
+    return absl::ZeroDuration();
   auto Found = m_known.find(Node);
   // The silence of a coordinator that was never heard starts when it was
   // discovered.
   if (Found == m_known.end())
-    return true;
-  return Now -
-             std::max(Found->second.m_lastHeard, Found->second.m_discovered) >=
-         For;
+    return absl::InfiniteDuration();
+  return Now - std::max(Found->second.m_lastHeard, Found->second.m_discovered);
 }
 
 std::vector<NodeId> CoordinatorRoster::live(Instant Now) const {
@@ -74,7 +72,7 @@
     if (Candidates.empty())
       break;
     if (Desired.size() < m_options.m_voters ||
-        !isSilent(Now, Voter, m_options.m_replaceAfter))
+        silence(Now, Voter) < m_options.m_replaceAfter)
       continue;
     std::replace(Desired.begin(), Desired.end(), Voter, Candidates.back());
     Candidates.pop_back();
@@ -91,9 +89,7 @@
     return Entry.first != m_self && !m_known.contains(Entry.first);
   });
   std::erase_if(m_known, [&](const auto &Entry) {
-    return Now - std::max(Entry.second.m_lastHeard,
-                          Entry.second.m_discovered) >=
-               m_options.m_forgetAfter &&
+    return silence(Now, Entry.first) >= m_options.m_forgetAfter &&
            std::find(Voters.begin(), Voters.end(), Entry.first) == Voters.end();
   });
 }
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
@@ -42,6 +42,9 @@
 
   /// All other coordinators, heard from or only listed by others.
   std::vector<NodeId> others() const;
+  /// How long a coordinator has not been heard from: 0 for this node, infinite
+  /// for an unknown one.
+  absl::Duration silence(Instant Now, const NodeId &Node) const;
   /// The coordinators that this node has heard from lately, itself included.
   std::vector<NodeId> live(Instant Now) const;
   /// The voter set that a leader should move to from the current one.
@@ -55,7 +58,6 @@
     Instant m_discovered;
     Instant m_lastHeard = absl::InfinitePast();
   };
-  bool isSilent(Instant Now, const NodeId &Node, absl::Duration For) const;
 
   NodeId m_self;
   CoordinatorRosterOptions m_options;
