Play replaced coordinators in virtual time; the lost quorum is reproduced

The rosters and cores of several coordinators run in virtual time with the wiring of the product (updateClusterMembers, split off from the node). One coordinator is replaced, then two others lose their disks: the voter set keeps the lost coordinator, and no leader is elected afterwards. No logic changed.

--- /dev/null
+++ b/packages/coordinator/test/SimCoordinators.cpp
@@ -0,0 +1,241 @@
+#include "SimCoordinators.h"
+
+#include <fmt/format.h>
+
+#include "absl/random/distributions.h"
+#include "turmericdyke/src/Coordinator/ClusterMembers.h"
+
+namespace turmericdyke::test {
+
+namespace {
+
+constexpr absl::Duration Step = absl::Milliseconds(20);
+
+} // namespace
+
+NodeId SimCoordinators::nameOf(std::size_t At) {
+  return NodeId(fmt::format("n{}", At));
+}
+
+std::string SimCoordinators::identityOf(const Member &Value) const {
+  return fmt::format("{}-disk-{}", Value.m_node.str(), Value.m_disks);
+}
+
+SimCoordinators::SimCoordinators(std::size_t Count,
+                                 CoordinatorRosterOptions Options,
+                                 unsigned Seed)
+    : m_options(Options), m_random(Seed),
+      m_now(absl::UnixEpoch() + absl::Hours(1)), m_members(Count) {
+  VoterSet Voters;
+  std::vector<NodeId> Seeds;
+  for (std::size_t At = 0; At < Count; ++At) {
+    m_members[At].m_node = nameOf(At);
+    Seeds.push_back(nameOf(At));
+    Voters.m_voters.push_back({nameOf(At), identityOf(m_members[At])});
+  }
+  for (Member &Value : m_members) {
+    Value.m_seeds = Seeds;
+    Value.m_disk = bootstrapState(identityOf(Value), Voters);
+    start(Value);
+  }
+}
+
+std::size_t SimCoordinators::add(std::vector<std::size_t> Seeds) {
+  Member &Added = m_members.emplace_back();
+  std::size_t At = m_members.size() - 1;
+  Added.m_node = nameOf(At);
+  for (std::size_t Seed : Seeds)
+    Added.m_seeds.push_back(nameOf(Seed));
+  Added.m_disk.m_identity = identityOf(Added);
+  start(Added);
+  return At;
+}
+
+void SimCoordinators::kill(std::size_t At) {
+  Member &Value = m_members[At];
+  Value.m_up = false;
+  Value.m_core.reset();
+  Value.m_bootstrap.reset();
+}
+
+void SimCoordinators::loseDisk(std::size_t At) {
+  Member &Value = m_members[At];
+  ++Value.m_disks;
+  Value.m_disk = {};
+  Value.m_disk.m_identity = identityOf(Value);
+}
+
+void SimCoordinators::restart(std::size_t At) { start(m_members[At]); }
+
+void SimCoordinators::start(Member &Value) {
+  Value.m_up = true;
+  ++Value.m_starts;
+  Value.m_roster.emplace(Value.m_node, m_options);
+  Value.m_roster->addSeeds(m_now, Value.m_seeds);
+  Value.m_nextRoster = Value.m_nextMembers = m_now;
+  if (Value.m_disk.m_entries.empty() && Value.m_disk.m_snapshot.m_index == 0)
+    Value.m_bootstrap.emplace(Value.m_node, Value.m_disk.m_identity,
+                              Value.m_seeds, false);
+  else
+    startCore(Value);
+}
+
+void SimCoordinators::startCore(Member &Value) {
+  Value.m_bootstrap.reset();
+  ControlCoreOptions Options;
+  Options.m_node = Value.m_node;
+  Options.m_incarnation = Value.m_starts;
+  Options.m_peers = Value.m_roster->others();
+  Value.m_core.emplace(std::move(Options), Value.m_disk, m_now, m_random);
+  perform(Value);
+}
+
+void SimCoordinators::run(absl::Duration Length) {
+  for (Instant End = m_now + Length; m_now < End;)
+    step();
+}
+
+void SimCoordinators::step() {
+  Instant End = m_now + Step;
+  while (!m_events.empty() && m_events.begin()->first <= End) {
+    auto Due = m_events.extract(m_events.begin());
+    m_now = std::max(m_now, Due.key());
+    Due.mapped()();
+  }
+  m_now = End;
+  for (Member &Value : m_members)
+    if (Value.m_up)
+      tick(Value);
+}
+
+void SimCoordinators::tick(Member &Value) {
+  if (Value.m_bootstrap) {
+    for (const AddressedMessage &Message : Value.m_bootstrap->tick(m_now))
+      sendCore(Value, Message);
+    if (Value.m_bootstrap->mustJoin())
+      startCore(Value);
+  }
+  if (m_now >= Value.m_nextRoster) {
+    Value.m_nextRoster = m_now + absl::Seconds(1);
+    sendRoster(Value);
+    if (Value.m_core)
+      (void)updateClusterMembers(m_now, *Value.m_roster, *Value.m_core);
+  }
+  if (!Value.m_core)
+    return;
+  Value.m_core->tick(m_now, m_now, m_random);
+  perform(Value);
+}
+
+void SimCoordinators::perform(Member &Value) {
+  do {
+    while (Value.m_core->hasActions()) {
+      persist(Value, Value.m_core->storageActions());
+      Value.m_core->onActionsPersisted(m_now);
+    }
+    ControlOutput Output = Value.m_core->takeOutput();
+    for (const AddressedMessage &Message : Output.m_messages)
+      sendCore(Value, Message);
+    for (const Completion &Done : Output.m_completions)
+      if (const auto *Set = std::get_if<SetRoutingResult>(&Done.m_result);
+          Set != nullptr && Done.m_status == SubmitStatus::Committed)
+        m_acknowledged = std::max(m_acknowledged, Set->m_version);
+  } while (Value.m_core->hasActions());
+}
+
+void SimCoordinators::persist(Member &Value, const RaftActions &Actions) {
+  PersistentState &Disk = Value.m_disk;
+  if (Actions.m_hardState)
+    Disk.m_hardState = *Actions.m_hardState;
+  if (Actions.m_snapshot) {
+    Disk.m_snapshot = *Actions.m_snapshot;
+    Disk.m_entries.clear();
+  }
+  if (Actions.m_entries.empty())
+    return;
+  std::erase_if(Disk.m_entries, [&](const LogEntry &Old) {
+    return Old.m_index >= Actions.m_entries.front().m_index;
+  });
+  Disk.m_entries.insert(Disk.m_entries.end(), Actions.m_entries.begin(),
+                        Actions.m_entries.end());
+}
+
+void SimCoordinators::send(const Member &From, const NodeId &To,
+                           std::function<void(Member &)> Receive) {
+  absl::Duration Delay = absl::Milliseconds(absl::Uniform(m_random, 1.0, 10.0));
+  for (std::size_t At = 0; At < m_members.size(); ++At)
+    if (m_members[At].m_node == To)
+      m_events.emplace(m_now + Delay,
+                       [this, At, Starts = m_members[At].m_starts,
+                        Sender = From.m_node, Run = std::move(Receive)] {
+                         Member &Receiver = m_members[At];
+                         if (!Receiver.m_up || Receiver.m_starts != Starts)
+                           return;
+                         Receiver.m_roster->heardFrom(m_now, Sender);
+                         Run(Receiver);
+                       });
+}
+
+void SimCoordinators::sendCore(const Member &From,
+                               const AddressedMessage &Message) {
+  send(From, Message.m_to,
+       [this, Sender = From.m_node,
+        Content = Message.m_message](Member &Receiver) {
+         if (Receiver.m_core) {
+           Receiver.m_core->onMessage(m_now, Sender, Content, m_random);
+           perform(Receiver);
+         } else if (const auto *Answer =
+                        std::get_if<BootstrapMessage>(&Content)) {
+           Receiver.m_bootstrap->receive(Sender, *Answer);
+         }
+       });
+}
+
+void SimCoordinators::sendRoster(Member &From) {
+  std::vector<NodeId> Known = From.m_roster->live(m_now);
+  for (const NodeId &Other : From.m_roster->others())
+    send(From, Other, [this, Known](Member &Receiver) {
+      for (const NodeId &Node : Known)
+        Receiver.m_roster->discovered(m_now, Node);
+    });
+}
+
+bool SimCoordinators::write(absl::Duration Within) {
+  std::uint64_t Version = ++m_version;
+  Instant Submitted = absl::InfinitePast();
+  for (Instant End = m_now + Within; m_now < End; step()) {
+    if (m_acknowledged >= Version)
+      return true;
+    std::optional<std::size_t> Leader = leader();
+    if (!Leader || m_now - Submitted < absl::Seconds(1))
+      continue;
+    m_members[*Leader].m_core->submit(m_now, SetRouting{Version, "document"});
+    Submitted = m_now;
+  }
+  return false;
+}
+
+std::optional<std::size_t> SimCoordinators::leader() const {
+  for (std::size_t At = 0; At < m_members.size(); ++At)
+    if (m_members[At].m_up && m_members[At].m_core &&
+        m_members[At].m_core->leads(m_now))
+      return At;
+  return std::nullopt;
+}
+
+std::vector<std::size_t> SimCoordinators::voters() const {
+  std::vector<std::size_t> Indexes;
+  const VoterSet &Set = m_members[leader().value()].m_core->raft().voters();
+  for (std::size_t At = 0; At < m_members.size(); ++At)
+    if (Set.find(m_members[At].m_node) != nullptr)
+      Indexes.push_back(At);
+  return Indexes;
+}
+
+bool SimCoordinators::holdsAcknowledged() const {
+  std::optional<std::size_t> Leader = leader();
+  return Leader && m_members[*Leader].m_core->state().routing().m_version >=
+                       m_acknowledged;
+}
+
+} // namespace turmericdyke::test
--- /dev/null
+++ b/packages/coordinator/test/SimCoordinators.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "turmericdyke/src/Feed/CoordinatorRoster.h"
+#include "turmericdyke/src/Node/Bootstrap.h"
+#include "turmericdyke/src/Node/ControlCore.h"
+
+namespace turmericdyke::test {
+
+/// The cores and rosters of several coordinators in virtual time, joined by a
+/// network that delays messages. A restart without disk goes through the
+/// bootstrap, as in the product.
+class SimCoordinators {
+public:
+  /// Starts `Count` coordinators as voters.
+  SimCoordinators(std::size_t Count, CoordinatorRosterOptions Options,
+                  unsigned Seed);
+
+  void run(absl::Duration Length);
+  /// Starts a coordinator that was never there before, and returns its index.
+  std::size_t add(std::vector<std::size_t> Seeds);
+  void kill(std::size_t At);
+  /// Starts a killed coordinator again.
+  void restart(std::size_t At);
+  void loseDisk(std::size_t At);
+  /// Submits a change and runs until it is acknowledged; false after `Within`.
+  bool write(absl::Duration Within);
+
+  Instant now() const { return m_now; }
+  std::optional<std::size_t> leader() const;
+  /// The latest voter set of the leader, as indexes.
+  std::vector<std::size_t> voters() const;
+  bool isUp(std::size_t At) const { return m_members[At].m_up; }
+  std::size_t size() const { return m_members.size(); }
+  /// Whether the leader's state holds every acknowledged change.
+  bool holdsAcknowledged() const;
+  std::mt19937_64 &random() { return m_random; }
+
+private:
+  struct Member {
+    NodeId m_node;
+    bool m_up = true;
+    std::uint64_t m_starts = 0;
+    int m_disks = 0;
+    PersistentState m_disk;
+    std::vector<NodeId> m_seeds;
+    std::optional<Bootstrap> m_bootstrap;
+    std::optional<ControlCore> m_core;
+    std::optional<CoordinatorRoster> m_roster;
+    Instant m_nextRoster = absl::InfinitePast();
+    Instant m_nextMembers = absl::InfinitePast();
+  };
+  static NodeId nameOf(std::size_t At);
+  std::string identityOf(const Member &Value) const;
+  void start(Member &Value);
+  void startCore(Member &Value);
+  void step();
+  void tick(Member &Value);
+  void perform(Member &Value);
+  void persist(Member &Value, const RaftActions &Actions);
+  void send(const Member &From, const NodeId &To,
+            std::function<void(Member &)> Receive);
+  void sendCore(const Member &From, const AddressedMessage &Message);
+  void sendRoster(Member &From);
+
+  CoordinatorRosterOptions m_options;
+  std::mt19937_64 m_random;
+  Instant m_now;
+  std::vector<Member> m_members;
+  std::multimap<Instant, std::function<void()>> m_events;
+  std::uint64_t m_version = 0;
+  std::uint64_t m_acknowledged = 0;
+};
+
+} // namespace turmericdyke::test
--- /dev/null
+++ b/packages/coordinator/turmericdyke/src/Coordinator/ClusterMembers.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <vector>
+
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Base/StringId.h"
+
+namespace turmericdyke {
+
+class ControlCore;
+class CoordinatorRoster;
+
+/// The voters of the replicated log, and those that its leader moves to.
+struct VoterPlan {
+  std::vector<NodeId> m_voters;
+  std::vector<NodeId> m_wanted;
+};
+
+/// Tells the core which coordinators receive the log and which should vote, and
+/// the roster which ones vote.
+VoterPlan updateClusterMembers(Instant Now, CoordinatorRoster &Roster,
+                               ControlCore &Core);
+
+} // namespace turmericdyke
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Coordinator/ClusterMembers.h"
 #include "turmericdyke/src/Node/CoreCodec.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
 
@@ -181,26 +182,15 @@
   std::string Bytes = encode(Message);
   for (const NodeId &Other : m_roster.others())
     (void)m_transport->sendTo(Other.str(), PeerMessageKind::Roster, Bytes);
-  if (m_core) {
-    std::vector<NodeId> Voters;
-    for (const Voter &Member : m_core->raft().voters().m_voters) {
-      Voters.push_back(Member.m_node);
-      m_roster.discovered(Now, Member.m_node);
-    }
-    std::vector<NodeId> Wanted = m_roster.desiredVoters(Now, Voters);
-    logWantedVoters(Now, Voters, Wanted);
-    m_core->setClusterMembers(m_roster.others(), std::move(Wanted));
-    m_roster.expire(Now, Voters);
-  }
+  if (m_core)
+    logWantedVoters(Now, updateClusterMembers(Now, m_roster, *m_core));
   m_loop.after(internal::RosterInterval, [this] { tickRoster(); });
 }
 
-void CoordinatorNode::logWantedVoters(Instant Now,
-                                      const std::vector<NodeId> &Voters,
-                                      const std::vector<NodeId> &Wanted) {
-  if (!leads() || Wanted == m_loggedVoters)
+void CoordinatorNode::logWantedVoters(Instant Now, const VoterPlan &Plan) {
+  if (!leads() || Plan.m_wanted == m_loggedVoters)
     return;
-  m_loggedVoters = Wanted;
+  m_loggedVoters = Plan.m_wanted;
   auto NameAndSilence = [&](std::string *Out, const NodeId &Node) {
     absl::StrAppend(Out, Node.str(), ":",
                     absl::ToInt64Milliseconds(m_roster.silence(Now, Node)));
@@ -211,8 +201,9 @@
   LogLine(LogLevel::Info, "voters_wanted")
       .field("node", m_settings.m_name)
       .field("term", m_core->raft().term())
-      .field("wanted", absl::StrJoin(Wanted, ",", Name))
-      .field("voters_silent_ms", absl::StrJoin(Voters, ",", NameAndSilence))
+      .field("wanted", absl::StrJoin(Plan.m_wanted, ",", Name))
+      .field("voters_silent_ms",
+             absl::StrJoin(Plan.m_voters, ",", NameAndSilence))
       .field("live", absl::StrJoin(m_roster.live(Now), ",", Name));
 }
 
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -28,6 +28,7 @@
 
 class PeerTransport;
 struct ReceivedMessage;
+struct VoterPlan;
 
 /// Why a coordinator could not start.
 struct CoordinatorError {
@@ -79,8 +80,7 @@
   void tickRoster();
   /// Logs a change of the voters that this leader moves to, with how long each
   /// current voter has been silent.
-  void logWantedVoters(Instant Now, const std::vector<NodeId> &Voters,
-                       const std::vector<NodeId> &Wanted);
+  void logWantedVoters(Instant Now, const VoterPlan &Plan);
   /// Sends the next feed request and the collected announcements to the leader.
   void tickRelay();
   /// Makes the next message to the leader due, but not within `RelayPause` of
