Give up a lost voter also when no further coordinator is left

Cause: the successor is added first, which makes six voters; the lost one should be removed at the next look a second later. By then desiredVoters starts from the six, finds no candidate left and wants all six, for good: four of six are needed from then on. Change: voters that are lost are given up without a replacement while the set is larger than desired.

--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -243,6 +243,22 @@
   CHECK(Unchanged.desiredVoters(BeforeTimeout, Voters) == Voters);
 }
 
+TEST_CASE("a lost voter is given up without a replacement while the set is "
+          "larger than desired") {
+  CoordinatorRosterOptions Options;
+  Options.m_voters = 3;
+  CoordinatorRoster Roster(NodeId("a"), Options);
+  std::vector<NodeId> Voters = {NodeId("a"), NodeId("b"), NodeId("c"),
+                                NodeId("d")};
+  for (const NodeId &Node : Voters)
+    Roster.heardFrom(Start, Node);
+  Instant Later = Start + absl::Seconds(10);
+  Roster.heardFrom(Later, NodeId("c"));
+  Roster.heardFrom(Later, NodeId("d"));
+  CHECK(Roster.desiredVoters(Later, Voters) ==
+        std::vector<NodeId>{NodeId("a"), NodeId("c"), NodeId("d")});
+}
+
 TEST_CASE("the voter set grows to the desired size") {
   CoordinatorRosterOptions Options;
   Options.m_voters = 5;
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
@@ -68,18 +68,21 @@
     if (std::find(Voters.begin(), Voters.end(), Node) == Voters.end())
       Candidates.push_back(Node);
   std::vector<NodeId> Desired(Voters.begin(), Voters.end());
-  for (const NodeId &Voter : Voters) {
-    if (Candidates.empty())
-      break;
-    if (Desired.size() < m_options.m_voters ||
-        silence(Now, Voter) < m_options.m_replaceAfter)
-      continue;
-    std::replace(Desired.begin(), Desired.end(), Voter, Candidates.back());
-    Candidates.pop_back();
-  }
-  while (Desired.size() < m_options.m_voters && !Candidates.empty()) {
+  auto TakeCandidate = [&] {
     Desired.push_back(Candidates.back());
     Candidates.pop_back();
+  };
+  while (Desired.size() < m_options.m_voters && !Candidates.empty())
+    TakeCandidate();
+  for (const NodeId &Voter : Voters) {
+    if (silence(Now, Voter) < m_options.m_replaceAfter)
+      continue;
+    if (Desired.size() <= m_options.m_voters) {
+      if (Candidates.empty())
+        break;
+      TakeCandidate();
+    }
+    std::erase(Desired, Voter);
   }
   return Desired;
 }
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
@@ -47,7 +47,9 @@
   absl::Duration silence(Instant Now, const NodeId &Node) const;
   /// The coordinators that this node has heard from lately, itself included.
   std::vector<NodeId> live(Instant Now) const;
-  /// The voter set that a leader should move to from the current one.
+  /// The voter set that a leader should move to from the current one. A lost
+  /// voter is given up for another coordinator, and without one if the set is
+  /// larger than desired: an extra lost voter raises the majority.
   std::vector<NodeId> desiredVoters(Instant Now,
                                     absl::Span<const NodeId> Voters) const;
   /// Removes coordinators that are neither voters nor heard from.
