Finish the replacement of a coordinator before its successor counts as sound

Callers saw: with the loss of two more coordinators shortly after a replacement, nothing was served any more (CONFIG and RECOVER), though the lost host's successor had run for catch-up-s and the losses had to be borne. Cause: the replacement took too long and passed through six voters with a lost one. A voter was given up after a fixed 6 s, others learned of a new coordinator by lists sent once a second, and the leader looked once a second, with a second between addition and removal. Change: a voter is given up after half of catch-up-s if it also misses the leader's heartbeats; only a coordinator that responds and has caught up takes its place; a new coordinator is made known at once; the leader takes a step each 100 ms, the one after which most of the responding voters may be lost (a lost voter leaves before its successor is added, a live one after). The consensus fuzz test showed that a step must be chosen by which voters really respond: with all others taken as lost it lost its majority.

--- a/packages/consensus/test/Cluster.cpp
+++ b/packages/consensus/test/Cluster.cpp
@@ -381,8 +381,9 @@
   VoterSet Goal = desiredVoters();
   if (M.m_raft->voters() == Goal)
     return;
-  (void)M.m_raft->changeVoters(clock(M),
-                               nextVoterSet(M.m_raft->voters(), Goal));
+  (void)M.m_raft->changeVoters(
+      clock(M),
+      nextVoterSet(M.m_raft->voters(), Goal, M.m_raft->respondingNodes()));
   perform(M);
 }
 
--- a/packages/consensus/test/RaftTest.cpp
+++ b/packages/consensus/test/RaftTest.cpp
@@ -335,9 +335,9 @@
   VoterSet Added = Abc;
   Added.m_voters.push_back(voter("d"));
   CHECK(errorKind(Change(Added)) == ConsensusErrorKind::NotCaughtUp);
-  VoterSet Without = nextVoterSet(Abc, Replaced);
+  VoterSet Without = nextVoterSet(Abc, Replaced, Replaced.m_voters);
   CHECK(Without == VoterSet{{voter("a"), voter("b")}});
-  CHECK(nextVoterSet(Without, Replaced) == Replaced);
+  CHECK(nextVoterSet(Without, Replaced, Replaced.m_voters) == Replaced);
   REQUIRE(Change(Without).has_value());
   CHECK(errorKind(Change(Abc)) == ConsensusErrorKind::ChangeInProgress);
   RaftActions Actions = Node.serve(Node.take());
@@ -346,6 +346,20 @@
   CHECK(Actions.m_events.back().m_voters == Without);
 }
 
+TEST_CASE("no step of a replacement lowers the number of voters that may be "
+          "lost: a lost voter leaves first, a live one last") {
+  VoterSet Five{{voter("a"), voter("b"), voter("c"), voter("d"), voter("e")}};
+  VoterSet Goal{{voter("a"), voter("b"), voter("c"), voter("d"), voter("f")}};
+  VoterSet Four{{voter("a"), voter("b"), voter("c"), voter("d")}};
+  CHECK(nextVoterSet(Five, Goal, Goal.m_voters) == Four);
+  std::vector<Voter> All = Five.m_voters;
+  All.push_back(voter("f"));
+  VoterSet Six = nextVoterSet(Five, Goal, All);
+  CHECK(Six.m_voters == All);
+  CHECK(nextVoterSet(Six, Goal, All) == Goal);
+  CHECK(nextVoterSet(Goal, Goal, All) == Goal);
+}
+
 TEST_CASE("a leader that loses its majority while removing itself becomes a "
           "candidate again, as only it may have the latest entries") {
   Single Node;
--- a/packages/consensus/turmericdyke/src/Consensus/FollowerProgress.h
+++ b/packages/consensus/turmericdyke/src/Consensus/FollowerProgress.h
@@ -25,6 +25,8 @@
   std::uint64_t m_matchRound = 0;
   /// Highest round that the node acknowledged with `m_identity`.
   std::uint64_t m_ackedRound = 0;
+  /// Round in which the leader began to send to this node.
+  std::uint64_t m_firstRound = 0;
   bool m_probeSent = false;
   bool m_heartbeatDue = true;
   LogIndex m_sentCommit = 0;
--- a/packages/consensus/turmericdyke/src/Consensus/Raft.h
+++ b/packages/consensus/turmericdyke/src/Consensus/Raft.h
@@ -36,6 +36,11 @@
   /// Whether its acknowledgements count towards a majority.
   bool m_countsForQuorum = false;
   bool m_rolledBack = false;
+  /// Whether it acknowledged one of the last rounds of heartbeats, or was sent
+  /// too few of them to tell.
+  bool m_responds = false;
+  /// Whether it may become a voter.
+  bool m_caughtUp = false;
 };
 
 /// The replicated log: Raft with pre-vote, leader lease, learners, snapshots,
@@ -104,6 +109,9 @@
   bool hasFailed() const { return m_failed; }
   /// Empty unless this node is the leader.
   std::vector<PeerStatus> peers() const;
+  /// This node and the nodes that respond to it, with their identities. Empty
+  /// unless this node is the leader.
+  std::vector<Voter> respondingNodes() const;
 
 private:
   struct Acknowledged {
@@ -157,6 +165,8 @@
   void advanceCommit();
   void advanceQuorumRound();
   bool countsForQuorum(const Voter &Member) const;
+  bool responds(const NodeId &Node,
+                const internal::FollowerProgress &Peer) const;
   std::uint64_t quorumValue(
       std::uint64_t Own,
       const std::function<std::uint64_t(const internal::FollowerProgress &)>
--- a/packages/consensus/turmericdyke/src/Consensus/RaftLeader.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftLeader.cpp
@@ -111,8 +111,10 @@
       m_peers, [&](const auto &Peer) { return Wanted.count(Peer.first) == 0; });
   for (const NodeId &Node : Wanted) {
     auto [Peer, Added] = m_peers.try_emplace(Node);
-    if (Added)
-      Peer->second.probeFrom(lastIndex() + 1);
+    if (!Added)
+      continue;
+    Peer->second.probeFrom(lastIndex() + 1);
+    Peer->second.m_firstRound = m_round;
   }
 }
 
@@ -151,13 +153,34 @@
   std::vector<PeerStatus> Status;
   for (const auto &[Node, Peer] : m_peers) {
     const Voter *Member = voters().find(Node);
-    Status.push_back({Node, Peer.m_identity, Peer.m_match,
-                      Member != nullptr && countsForQuorum(*Member),
-                      m_rolledBackIdentities.count(Peer.m_identity) > 0});
+    Status.push_back(
+        {Node, Peer.m_identity, Peer.m_match,
+         Member != nullptr && countsForQuorum(*Member),
+         m_rolledBackIdentities.count(Peer.m_identity) > 0,
+         responds(Node, Peer),
+         !Peer.m_identity.empty() && isCaughtUp({Node, Peer.m_identity})});
   }
   return Status;
 }
 
+std::vector<Voter> Raft::respondingNodes() const {
+  std::vector<Voter> Nodes;
+  if (isLeader())
+    Nodes.push_back(m_self);
+  for (const auto &[Node, Peer] : m_peers)
+    if (responds(Node, Peer))
+      Nodes.push_back({Node, Peer.m_identity});
+  return Nodes;
+}
+
+bool Raft::responds(const NodeId &Node, const FollowerProgress &Peer) const {
+  // Learners are sent only a part of the rounds.
+  std::uint64_t Rounds = voters().find(Node) == nullptr
+                             ? 2 * m_options.m_learnerHeartbeatRounds
+                             : m_options.m_responseRounds;
+  return std::max(Peer.m_ackedRound, Peer.m_firstRound) + Rounds >= m_round;
+}
+
 void Raft::advanceCommit() {
   LogIndex Index =
       quorumValue(lastIndex(), [](const auto &Peer) { return Peer.m_match; });
@@ -295,7 +318,9 @@
   if (Peer.m_identity == Response.m_fromIdentity)
     return;
   LogIndex Next = Peer.m_next;
+  std::uint64_t FirstRound = Peer.m_firstRound;
   Peer = FollowerProgress();
+  Peer.m_firstRound = FirstRound;
   Peer.m_identity = Response.m_fromIdentity;
   Peer.probeFrom(Next);
 }
--- a/packages/consensus/turmericdyke/src/Consensus/RaftOptions.h
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftOptions.h
@@ -47,6 +47,8 @@
   /// A learner gets a heartbeat once per this many rounds: learners do not
   /// count for the lease, and there may be many.
   std::uint64_t m_learnerHeartbeatRounds = 5;
+  /// A voter that acknowledged none of this many last rounds does not respond.
+  std::uint64_t m_responseRounds = 5;
   /// Heartbeat rounds before an unacknowledged snapshot is retried.
   std::uint64_t m_snapshotRetryRounds = 20;
   /// For tests only.
--- a/packages/consensus/turmericdyke/src/Consensus/RaftState.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftState.cpp
@@ -18,6 +18,15 @@
   return Rest;
 }
 
+/// How many of the live voters may be lost before no majority is left; negative
+/// without a majority.
+std::ptrdiff_t tolerance(const VoterSet &Set, absl::Span<const Voter> Live) {
+  std::ptrdiff_t LiveVoters =
+      std::count_if(Live.begin(), Live.end(),
+                    [&](const Voter &Node) { return Set.contains(Node); });
+  return LiveVoters - static_cast<std::ptrdiff_t>(Set.majority());
+}
+
 bool isValidVoter(const Voter &Candidate) {
   return !Candidate.m_node.empty() && !Candidate.m_identity.empty();
 }
@@ -49,23 +58,27 @@
   return State;
 }
 
-VoterSet nextVoterSet(const VoterSet &Current, const VoterSet &Goal) {
-  VoterSet Next = Current;
-  std::vector<Voter> Added = internal::difference(Goal, Current);
-  std::vector<Voter> Removed = internal::difference(Current, Goal);
-  auto Replaced =
-      std::find_if(Removed.begin(), Removed.end(), [&](const Voter &Old) {
-        return Goal.find(Old.m_node) != nullptr;
-      });
-  bool Remove = Replaced != Removed.end() || Added.empty();
-  if (!Remove) {
-    Next.m_voters.push_back(Added.front());
+VoterSet nextVoterSet(const VoterSet &Current, const VoterSet &Goal,
+                      absl::Span<const Voter> Live) {
+  std::vector<VoterSet> Steps;
+  for (const Voter &Removed : internal::difference(Current, Goal)) {
+    VoterSet &Next = Steps.emplace_back(Current);
+    std::erase(Next.m_voters, Removed);
+  }
+  for (const Voter &Added : internal::difference(Goal, Current)) {
+    if (Current.find(Added.m_node) != nullptr)
+      continue;
+    VoterSet &Next = Steps.emplace_back(Current);
+    Next.m_voters.push_back(Added);
     std::sort(Next.m_voters.begin(), Next.m_voters.end());
-  } else if (!Removed.empty()) {
-    std::erase(Next.m_voters,
-               Replaced != Removed.end() ? *Replaced : Removed.front());
   }
-  return Next;
+  // Removals come first, so they win among equals: a removal needs no
+  // acknowledgement of the new voter.
+  auto Best = std::max_element(
+      Steps.begin(), Steps.end(), [&](const VoterSet &A, const VoterSet &B) {
+        return internal::tolerance(A, Live) < internal::tolerance(B, Live);
+      });
+  return Best == Steps.end() ? Current : *Best;
 }
 
 bool differByOneVoter(const VoterSet &A, const VoterSet &B) {
--- a/packages/consensus/turmericdyke/src/Consensus/RaftState.h
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftState.h
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <vector>
 
+#include "absl/types/span.h"
 #include "turmericdyke/src/Base/StringId.h"
 
 namespace turmericdyke {
@@ -96,10 +97,13 @@
 PersistentState bootstrapState(std::string Identity, VoterSet Voters);
 
 /// The next voter set on the way from `Current` to `Goal`. It differs from
-/// `Current` by one voter. A changed identity takes two steps, removal and
-/// addition, because majorities of the sets before and after a direct
-/// replacement need not overlap.
-VoterSet nextVoterSet(const VoterSet &Current, const VoterSet &Goal);
+/// `Current` by one voter, because majorities of the sets before and after a
+/// direct replacement need not overlap. Of the possible steps it takes the one
+/// after which most of the voters in `Live` may be lost: a lost voter is
+/// removed before its successor is added, a live one is removed after. `Live`
+/// may name nodes that do not vote yet.
+VoterSet nextVoterSet(const VoterSet &Current, const VoterSet &Goal,
+                      absl::Span<const Voter> Live);
 
 /// Whether the sets differ by exactly one added or one removed voter.
 bool differByOneVoter(const VoterSet &A, const VoterSet &B);
--- a/packages/coordinator/test/SimCoordinators.cpp
+++ b/packages/coordinator/test/SimCoordinators.cpp
@@ -72,7 +72,7 @@
   ++Value.m_starts;
   Value.m_roster.emplace(Value.m_node, m_options);
   Value.m_roster->addSeeds(m_now, Value.m_seeds);
-  Value.m_nextRoster = Value.m_nextMembers = m_now;
+  Value.m_nextMembers = m_now;
   if (Value.m_disk.m_entries.empty() && Value.m_disk.m_snapshot.m_index == 0)
     Value.m_bootstrap.emplace(Value.m_node, Value.m_disk.m_identity,
                               Value.m_seeds, false);
@@ -115,9 +115,10 @@
     if (Value.m_bootstrap->mustJoin())
       startCore(Value);
   }
-  if (m_now >= Value.m_nextRoster) {
-    Value.m_nextRoster = m_now + absl::Seconds(1);
-    sendRoster(Value);
+  if (m_now >= Value.m_nextMembers) {
+    Value.m_nextMembers = m_now + MembersInterval;
+    if (Value.m_roster->announcementDue(m_now))
+      sendRoster(Value);
     if (Value.m_core)
       (void)updateClusterMembers(m_now, *Value.m_roster, *Value.m_core);
   }
--- a/packages/coordinator/test/SimCoordinators.h
+++ b/packages/coordinator/test/SimCoordinators.h
@@ -52,7 +52,6 @@
     std::optional<Bootstrap> m_bootstrap;
     std::optional<ControlCore> m_core;
     std::optional<CoordinatorRoster> m_roster;
-    Instant m_nextRoster = absl::InfinitePast();
     Instant m_nextMembers = absl::InfinitePast();
   };
   static NodeId nameOf(std::size_t At);
--- a/packages/coordinator/turmericdyke/src/Coordinator/ClusterMembers.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/ClusterMembers.h
@@ -16,6 +16,10 @@
   std::vector<NodeId> m_wanted;
 };
 
+/// How often `updateClusterMembers` must be called. Each change of the voter
+/// set takes one call.
+constexpr absl::Duration MembersInterval = absl::Milliseconds(100);
+
 /// Tells the core which coordinators receive the log and which should vote, and
 /// the roster which ones vote.
 VoterPlan updateClusterMembers(Instant Now, CoordinatorRoster &Roster,
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -14,7 +14,6 @@
 namespace internal {
 namespace {
 
-constexpr absl::Duration RosterInterval = absl::Seconds(1);
 constexpr absl::Duration PushDelay = absl::Milliseconds(10);
 /// Shortest time between two messages of a relay to the leader.
 constexpr absl::Duration RelayPause = absl::Milliseconds(20);
@@ -174,6 +173,14 @@
 
 void CoordinatorNode::tickRoster() {
   Instant Now = monotonicNow();
+  if (m_roster.announcementDue(Now))
+    sendRoster(Now);
+  if (m_core)
+    logWantedVoters(Now, updateClusterMembers(Now, m_roster, *m_core));
+  m_loop.after(MembersInterval, [this] { tickRoster(); });
+}
+
+void CoordinatorNode::sendRoster(Instant Now) {
   RosterMessage Message;
   Message.m_failureDomain = m_settings.m_failureDomain;
   Message.m_known = m_roster.live(Now);
@@ -182,9 +189,6 @@
   std::string Bytes = encode(Message);
   for (const NodeId &Other : m_roster.others())
     (void)m_transport->sendTo(Other.str(), PeerMessageKind::Roster, Bytes);
-  if (m_core)
-    logWantedVoters(Now, updateClusterMembers(Now, m_roster, *m_core));
-  m_loop.after(internal::RosterInterval, [this] { tickRoster(); });
 }
 
 void CoordinatorNode::logWantedVoters(Instant Now, const VoterPlan &Plan) {
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -45,6 +45,9 @@
 CoordinatorRosterOptions rosterOptions(const CoordinatorSettings &Settings) {
   CoordinatorRosterOptions Options;
   Options.m_voters = 2 * Settings.m_toleratedLosses + 1;
+  // The other half is left for an election, if the lost voter led, and for the
+  // changes of the voter set.
+  Options.m_replaceAfter = Settings.m_catchUp / 2;
   return Options;
 }
 
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -78,6 +78,8 @@
   void onFeedRequest(const ReceivedMessage &Message);
   void onFeedUpdate(const ReceivedMessage &Message);
   void tickRoster();
+  /// Tells the other coordinators whom this one has heard from.
+  void sendRoster(Instant Now);
   /// Logs a change of the voters that this leader moves to, with how long each
   /// current voter has been silent.
   void logWantedVoters(Instant Now, const VoterPlan &Plan);
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
@@ -29,6 +29,9 @@
   bool m_firstStart = false;
   /// Number of hosts that may be lost at the same time.
   std::size_t m_toleratedLosses = 1;
+  /// How long after its start a coordinator that replaces another one may take
+  /// until the cluster bears all losses again.
+  absl::Duration m_catchUp = absl::Seconds(4);
   absl::Duration m_stopGrace = absl::Seconds(8);
   /// How long a head that has lost a member goes on before it gives up.
   absl::Duration m_headStall = absl::Seconds(4);
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -218,6 +218,24 @@
   CHECK(Publisher.entryNodes(Later + absl::Seconds(3)) == 0);
 }
 
+namespace {
+
+/// A log in which every node but `Silent` responds and has caught up.
+ReplicationStatus replication(std::vector<NodeId> Voters,
+                              const std::vector<NodeId> &Silent,
+                              std::vector<NodeId> Others = {}) {
+  ReplicationStatus Status;
+  Status.m_voters = Voters;
+  for (std::vector<NodeId> *Nodes : {&Voters, &Others})
+    for (const NodeId &Node : *Nodes)
+      if (std::count(Silent.begin(), Silent.end(), Node) == 0)
+        Status.m_responding.push_back(Node);
+  Status.m_caughtUp = Status.m_responding;
+  return Status;
+}
+
+} // namespace
+
 // Guards against a voter set that changes at each restart, and against one that
 // keeps a lost host.
 TEST_CASE(
@@ -230,17 +248,34 @@
   Roster.heardFrom(Start, NodeId("c"));
   Instant Later = Start + absl::Seconds(10);
   Roster.heardFrom(Later, NodeId("b"));
-  CHECK(Roster.desiredVoters(Later, Voters) == Voters);
+  ReplicationStatus Status = replication(Voters, {NodeId("c")}, {NodeId("d")});
+  CHECK(Roster.desiredVoters(Later, Status) == Voters);
   Roster.heardFrom(Later, NodeId("d"));
-  std::vector<NodeId> Desired = Roster.desiredVoters(Later, Voters);
+  std::vector<NodeId> Desired = Roster.desiredVoters(Later, Status);
   CHECK(std::count(Desired.begin(), Desired.end(), NodeId("c")) == 0);
   CHECK(std::count(Desired.begin(), Desired.end(), NodeId("d")) == 1);
-  Instant BeforeTimeout = Start + absl::Seconds(3);
+  CHECK(Roster.desiredVoters(Later,
+                             replication(Voters, {NodeId("c"), NodeId("d")},
+                                         {NodeId("d")})) == Voters);
+  Instant BeforeTimeout = Start + absl::Seconds(1);
   CoordinatorRoster Unchanged(NodeId("a"), Options);
   Unchanged.heardFrom(Start, NodeId("b"));
   Unchanged.heardFrom(Start, NodeId("c"));
   Unchanged.heardFrom(BeforeTimeout, NodeId("d"));
-  CHECK(Unchanged.desiredVoters(BeforeTimeout, Voters) == Voters);
+  CHECK(Unchanged.desiredVoters(BeforeTimeout, Status) == Voters);
+}
+
+TEST_CASE("a voter that responds to heartbeats is kept although its messages "
+          "are late") {
+  CoordinatorRosterOptions Options;
+  CoordinatorRoster Roster(NodeId("a"), Options);
+  std::vector<NodeId> Voters = {NodeId("a"), NodeId("b"), NodeId("c")};
+  Instant Later = Start + absl::Seconds(10);
+  Roster.heardFrom(Start, NodeId("b"));
+  Roster.heardFrom(Start, NodeId("c"));
+  Roster.heardFrom(Later, NodeId("d"));
+  CHECK(Roster.desiredVoters(Later, replication(Voters, {}, {NodeId("d")})) ==
+        Voters);
 }
 
 TEST_CASE("a lost voter is given up without a replacement while the set is "
@@ -255,7 +290,7 @@
   Instant Later = Start + absl::Seconds(10);
   Roster.heardFrom(Later, NodeId("c"));
   Roster.heardFrom(Later, NodeId("d"));
-  CHECK(Roster.desiredVoters(Later, Voters) ==
+  CHECK(Roster.desiredVoters(Later, replication(Voters, {NodeId("b")})) ==
         std::vector<NodeId>{NodeId("a"), NodeId("c"), NodeId("d")});
 }
 
@@ -265,8 +300,11 @@
   CoordinatorRoster Roster(NodeId("a"), Options);
   Roster.heardFrom(Start, NodeId("b"));
   Roster.discovered(Start, NodeId("never-heard"));
-  std::vector<NodeId> Voters = {NodeId("a")};
-  CHECK(Roster.desiredVoters(Start, Voters).size() == 2);
+  CHECK(Roster
+            .desiredVoters(Start,
+                           replication({NodeId("a")}, {},
+                                       {NodeId("b"), NodeId("never-heard")}))
+            .size() == 2);
 }
 
 namespace {
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
@@ -4,6 +4,16 @@
 
 namespace turmericdyke {
 
+namespace internal {
+namespace {
+
+bool contains(const std::vector<NodeId> &Nodes, const NodeId &Node) {
+  return std::find(Nodes.begin(), Nodes.end(), Node) != Nodes.end();
+}
+
+} // namespace
+} // namespace internal
+
 CoordinatorRoster::CoordinatorRoster(NodeId Self,
                                      CoordinatorRosterOptions Options)
     : m_self(std::move(Self)), m_options(Options) {}
@@ -17,6 +27,10 @@
   if (From == m_self)
     return;
   KnownNode &Entry = m_known[From];
+  // The others learn of a new coordinator at once, so that the leader can send
+  // it the log.
+  if (Now - Entry.m_lastHeard >= m_options.m_silentAfter)
+    m_nextAnnouncement = Now;
   Entry.m_discovered = Now;
   Entry.m_lastHeard = Now;
 }
@@ -60,22 +74,39 @@
   return Live;
 }
 
+/// A voter that was silent towards this node may still respond to the leader's
+/// heartbeats, whose messages can be queued while this node is busy.
+bool CoordinatorRoster::isLost(Instant Now, const NodeId &Voter,
+                               const ReplicationStatus &Status) const {
+  return silence(Now, Voter) >= m_options.m_replaceAfter &&
+         !internal::contains(Status.m_responding, Voter);
+}
+
+std::vector<NodeId>
+CoordinatorRoster::candidates(Instant Now,
+                              const ReplicationStatus &Status) const {
+  std::vector<NodeId> Candidates = live(Now);
+  std::erase_if(Candidates, [&](const NodeId &Node) {
+    return internal::contains(Status.m_voters, Node) ||
+           !internal::contains(Status.m_responding, Node) ||
+           !internal::contains(Status.m_caughtUp, Node);
+  });
+  return Candidates;
+}
+
 std::vector<NodeId>
 CoordinatorRoster::desiredVoters(Instant Now,
-                                 absl::Span<const NodeId> Voters) const {
-  std::vector<NodeId> Candidates;
-  for (const NodeId &Node : live(Now))
-    if (std::find(Voters.begin(), Voters.end(), Node) == Voters.end())
-      Candidates.push_back(Node);
-  std::vector<NodeId> Desired(Voters.begin(), Voters.end());
+                                 const ReplicationStatus &Status) const {
+  std::vector<NodeId> Candidates = candidates(Now, Status);
+  std::vector<NodeId> Desired = Status.m_voters;
   auto TakeCandidate = [&] {
     Desired.push_back(Candidates.back());
     Candidates.pop_back();
   };
   while (Desired.size() < m_options.m_voters && !Candidates.empty())
     TakeCandidate();
-  for (const NodeId &Voter : Voters) {
-    if (silence(Now, Voter) < m_options.m_replaceAfter)
+  for (const NodeId &Voter : Status.m_voters) {
+    if (!isLost(Now, Voter, Status))
       continue;
     if (Desired.size() <= m_options.m_voters) {
       if (Candidates.empty())
@@ -87,6 +118,13 @@
   return Desired;
 }
 
+bool CoordinatorRoster::announcementDue(Instant Now) {
+  if (Now < m_nextAnnouncement)
+    return false;
+  m_nextAnnouncement = Now + m_options.m_announceInterval;
+  return true;
+}
+
 void CoordinatorRoster::expire(Instant Now, absl::Span<const NodeId> Voters) {
   std::erase_if(m_domains, [this](const auto &Entry) {
     return Entry.first != m_self && !m_known.contains(Entry.first);
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
@@ -16,15 +16,25 @@
   /// one.
   std::size_t m_voters = 3;
   /// A voter that was silent for this long is replaced if another coordinator
-  /// is available. Restarts and freezes of a few seconds must not change the
-  /// voter set.
-  absl::Duration m_replaceAfter = absl::Seconds(6);
+  /// is available. It becomes a candidate again when it returns, so a mistake
+  /// costs two changes of the voter set.
+  absl::Duration m_replaceAfter = absl::Seconds(2);
   /// A coordinator that was silent for this long is not a candidate.
   absl::Duration m_silentAfter = absl::Seconds(3);
+  absl::Duration m_announceInterval = absl::Seconds(1);
   /// A non-voter is removed after being silent for this long.
   absl::Duration m_forgetAfter = absl::Seconds(60);
 };
 
+/// What the leader of the replicated log knows of the other coordinators.
+struct ReplicationStatus {
+  std::vector<NodeId> m_voters;
+  /// Nodes that acknowledge heartbeats.
+  std::vector<NodeId> m_responding;
+  /// Nodes that have enough of the log to vote.
+  std::vector<NodeId> m_caughtUp;
+};
+
 /// The coordinators known to this node, discovered through the seeds and from
 /// each other, and the voters that the replicated log should have.
 class CoordinatorRoster {
@@ -49,9 +59,14 @@
   std::vector<NodeId> live(Instant Now) const;
   /// The voter set that a leader should move to from the current one. A lost
   /// voter is given up for another coordinator, and without one if the set is
-  /// larger than desired: an extra lost voter raises the majority.
+  /// larger than desired: an extra lost voter raises the majority. Only
+  /// coordinators that respond and have caught up are added.
   std::vector<NodeId> desiredVoters(Instant Now,
-                                    absl::Span<const NodeId> Voters) const;
+                                    const ReplicationStatus &Status) const;
+  /// Whether this node should tell the others now whom it knows: once a second,
+  /// and soon after it has learned of a coordinator. The next message is due
+  /// after that.
+  bool announcementDue(Instant Now);
   /// Removes coordinators that are neither voters nor heard from.
   void expire(Instant Now, absl::Span<const NodeId> Voters);
 
@@ -60,10 +75,15 @@
     Instant m_discovered;
     Instant m_lastHeard = absl::InfinitePast();
   };
+  bool isLost(Instant Now, const NodeId &Voter,
+              const ReplicationStatus &Status) const;
+  std::vector<NodeId> candidates(Instant Now,
+                                 const ReplicationStatus &Status) const;
 
   NodeId m_self;
   CoordinatorRosterOptions m_options;
   std::map<NodeId, KnownNode> m_known;
+  Instant m_nextAnnouncement = absl::InfinitePast();
   CoordinatorDomains m_domains;
 };
 
--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -14,7 +14,7 @@
 /// Expiry of records needs no finer resolution, and each advance adds a log
 /// entry.
 constexpr absl::Duration LogTimeInterval = absl::Seconds(10);
-constexpr absl::Duration VoterUpdateInterval = absl::Seconds(1);
+constexpr absl::Duration VoterUpdateInterval = absl::Milliseconds(100);
 
 RaftOptions raftOptions(const ControlCoreOptions &Options) {
   RaftOptions Raft = Options.m_raft;
@@ -216,7 +216,8 @@
     return;
   // A rejection means that the new voter is still catching up; the next update
   // retries.
-  (void)m_raft.changeVoters(Now, nextVoterSet(m_raft.voters(), *Normalized));
+  (void)m_raft.changeVoters(Now, nextVoterSet(m_raft.voters(), *Normalized,
+                                              m_raft.respondingNodes()));
 }
 
 std::uint64_t ControlCore::submit(Instant Now, const Command &Value) {
