Let a coordinator without disk join though all its seeds are lost

Not reported; found while the same cause was looked for elsewhere. A coordinator that had lost its disk asked its seeds whether a cluster exists and ignored the log until one said so. Where one seed had been replaced for good and the two others lost their disks, both waited for each other for ever: service went on with three of five voters, and the next losses ended it. Change: a start that is not the first one joins as a learner at once; any leader that knows its address sends the log. An identity with an empty directory has never voted, so nothing must be confirmed before. Measured: the new case of VoterReplacementTest failed before and passes now.

--- a/packages/coordinator/test/SimCoordinators.cpp
+++ b/packages/coordinator/test/SimCoordinators.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// The first coordinators are the seeds of all.
+constexpr std::size_t Seeds = 3;
 constexpr absl::Duration Step = absl::Milliseconds(20);
 
 } // namespace
@@ -27,14 +29,15 @@
     : m_options(Options), m_random(Seed),
       m_now(absl::UnixEpoch() + absl::Hours(1)), m_members(Count) {
   VoterSet Voters;
-  std::vector<NodeId> Seeds;
+  std::vector<NodeId> SeedNodes;
   for (std::size_t At = 0; At < Count; ++At) {
     m_members[At].m_node = nameOf(At);
-    Seeds.push_back(nameOf(At));
+    if (At < Seeds)
+      SeedNodes.push_back(nameOf(At));
     Voters.m_voters.push_back({nameOf(At), identityOf(m_members[At])});
   }
   for (Member &Value : m_members) {
-    Value.m_seeds = Seeds;
+    Value.m_seeds = SeedNodes;
     Value.m_disk = bootstrapState(identityOf(Value), Voters);
     start(Value);
   }
--- a/packages/coordinator/test/VoterReplacementTest.cpp
+++ b/packages/coordinator/test/VoterReplacementTest.cpp
@@ -105,6 +105,26 @@
   }
 }
 
+TEST_CASE("coordinators without disk vote again when all other seeds are lost, "
+          "so that two more losses are borne") {
+  SimCoordinators Sim(Voters, fiveVoters(), 1);
+  Sim.run(absl::Seconds(5));
+  Sim.kill(2);
+  Sim.run(absl::Seconds(1));
+  Sim.add({0, 1, 2});
+  Sim.run(CatchUp);
+  for (std::size_t Seed : {0, 1}) {
+    Sim.kill(Seed);
+    Sim.loseDisk(Seed);
+  }
+  Sim.run(Downtime);
+  Sim.restart(0);
+  Sim.restart(1);
+  Sim.run(CatchUp);
+  REQUIRE(Sim.write(absl::Seconds(4)));
+  CHECK(survivesLostDisks(Sim, ToleratedLosses));
+}
+
 TEST_CASE("a second disk may be lost at any moment of a replacement") {
   for (unsigned Seed = 1; Seed <= 120; ++Seed) {
     CAPTURE(Seed);
--- a/packages/node/turmericdyke/src/Node/Bootstrap.cpp
+++ b/packages/node/turmericdyke/src/Node/Bootstrap.cpp
@@ -15,7 +15,7 @@
 Bootstrap::Bootstrap(NodeId Self, std::string Identity,
                      std::vector<NodeId> Voters, bool MayForm)
     : m_self(std::move(Self)), m_identity(std::move(Identity)),
-      m_voters(std::move(Voters)), m_mayForm(MayForm) {
+      m_voters(std::move(Voters)), m_mustJoin(!MayForm) {
   m_identities[m_self] = m_identity;
   propose();
 }
@@ -62,8 +62,6 @@
 }
 
 void Bootstrap::adoptIfAgreed() {
-  if (!m_mayForm)
-    return;
   for (const NodeId &Voter : m_voters)
     if (m_proposals[Voter] != m_proposal)
       return;
--- a/packages/node/turmericdyke/src/Node/Bootstrap.h
+++ b/packages/node/turmericdyke/src/Node/Bootstrap.h
@@ -20,7 +20,10 @@
 /// this node has lost its directory and joins as a learner.
 class Bootstrap {
 public:
-  /// With `MayForm` false, the node only joins an existing cluster.
+  /// With `MayForm` false, the node joins an existing cluster. It does not wait
+  /// for a voter to confirm that one exists, because all that it knows may be
+  /// lost. An identity with an empty directory has never voted, so the node may
+  /// take the log from any leader that sends it.
   Bootstrap(NodeId Self, std::string Identity, std::vector<NodeId> Voters,
             bool MayForm = true);
 
@@ -30,7 +33,7 @@
 
   /// The voter set to start with, once it is agreed.
   const std::optional<VoterSet> &voters() const { return m_agreedVoters; }
-  /// Whether a cluster exists whose voter set lacks this identity.
+  /// Whether the node starts as a learner of an existing cluster.
   bool mustJoin() const { return m_mustJoin; }
 
 private:
@@ -40,13 +43,12 @@
   NodeId m_self;
   std::string m_identity;
   std::vector<NodeId> m_voters;
-  bool m_mayForm;
   std::map<NodeId, std::string> m_identities;
   std::map<NodeId, VoterSet> m_proposals;
   VoterSet m_proposal;
   Instant m_nextSend = absl::InfinitePast();
   std::optional<VoterSet> m_agreedVoters;
-  bool m_mustJoin = false;
+  bool m_mustJoin;
 };
 
 } // namespace turmericdyke
