Hand a coordinator's vote over before it stops for good

Callers would see: a coordinator is replaced by plan, its successor has long been up, and two others are lost at the moment of the stop: no majority is left, though the platform counts nothing else as lost then. Cause: the stopped coordinator stayed a voter until it had been silent for seconds. Change: it tells the others that it stops (field leaving of the roster message; absent means false) and goes on voting, for at most the 2 s that a stop may take, while a coordinator without a vote can take its place. The successor is added first, then it is removed. A restart with no spare coordinator stops as before.

--- a/packages/coordinator/test/SimCoordinators.cpp
+++ b/packages/coordinator/test/SimCoordinators.cpp
@@ -11,6 +11,7 @@
 
 /// The first coordinators are the seeds of all.
 constexpr std::size_t Seeds = 3;
+constexpr absl::Duration MaxStop = absl::Seconds(2);
 constexpr absl::Duration Step = absl::Milliseconds(20);
 
 } // namespace
@@ -61,6 +62,18 @@
   Value.m_bootstrap.reset();
 }
 
+void SimCoordinators::stop(std::size_t At) {
+  Member &Value = m_members[At];
+  Value.m_roster->leave(m_now);
+  Value.m_core->transferLeadership(m_now);
+  perform(Value);
+  for (Instant End = m_now + MaxStop; m_now < End; step())
+    if (!Value.m_core->raft().isLeader() &&
+        !mayHandVoteOver(m_now, *Value.m_roster, *Value.m_core))
+      break;
+  kill(At);
+}
+
 void SimCoordinators::loseDisk(std::size_t At) {
   Member &Value = m_members[At];
   ++Value.m_disks;
@@ -198,10 +211,13 @@
 void SimCoordinators::sendRoster(Member &From) {
   std::vector<NodeId> Known = From.m_roster->live(m_now);
   for (const NodeId &Other : From.m_roster->others())
-    send(From, Other, [this, Known](Member &Receiver) {
-      for (const NodeId &Node : Known)
-        Receiver.m_roster->discovered(m_now, Node);
-    });
+    send(From, Other,
+         [this, Known, Sender = From.m_node,
+          Leaving = From.m_roster->isLeaving()](Member &Receiver) {
+           Receiver.m_roster->setLeaving(Sender, Leaving);
+           for (const NodeId &Node : Known)
+             Receiver.m_roster->discovered(m_now, Node);
+         });
 }
 
 bool SimCoordinators::write(absl::Duration Within) {
--- a/packages/coordinator/test/SimCoordinators.h
+++ b/packages/coordinator/test/SimCoordinators.h
@@ -25,6 +25,8 @@
   /// Starts a coordinator that was never there before, and returns its index.
   std::size_t add(std::vector<std::size_t> Seeds);
   void kill(std::size_t At);
+  /// Stops a coordinator gracefully.
+  void stop(std::size_t At);
   /// Starts a killed coordinator again.
   void restart(std::size_t At);
   void loseDisk(std::size_t At);
--- a/packages/coordinator/test/VoterReplacementTest.cpp
+++ b/packages/coordinator/test/VoterReplacementTest.cpp
@@ -105,6 +105,20 @@
   }
 }
 
+TEST_CASE("a coordinator that stops after its successor has started hands its "
+          "vote over, so that two disks may be lost at once") {
+  for (unsigned Seed = 1; Seed <= 60; ++Seed) {
+    CAPTURE(Seed);
+    SimCoordinators Sim(Voters, fiveVoters(), Seed);
+    Sim.run(absl::Seconds(5));
+    REQUIRE(Sim.write(absl::Seconds(4)));
+    Sim.add({0, 1, 2});
+    Sim.run(CatchUp);
+    Sim.stop(Seed % Voters);
+    CHECK(survivesLostDisks(Sim, ToleratedLosses));
+  }
+}
+
 TEST_CASE("coordinators without disk vote again when all other seeds are lost, "
           "so that two more losses are borne") {
   SimCoordinators Sim(Voters, fiveVoters(), 1);
--- a/packages/coordinator/turmericdyke/src/Coordinator/ClusterMembers.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/ClusterMembers.cpp
@@ -37,4 +37,11 @@
   return {std::move(Status.m_voters), std::move(Wanted)};
 }
 
+bool mayHandVoteOver(Instant Now, const CoordinatorRoster &Roster,
+                     const ControlCore &Core) {
+  return Core.raft().isVoter() &&
+         Roster.canSpareVote(Now,
+                             internal::replicationStatus(Core.raft()).m_voters);
+}
+
 } // namespace turmericdyke
--- a/packages/coordinator/turmericdyke/src/Coordinator/ClusterMembers.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/ClusterMembers.h
@@ -25,4 +25,9 @@
 VoterPlan updateClusterMembers(Instant Now, CoordinatorRoster &Roster,
                                ControlCore &Core);
 
+/// Whether a node that stops should go on voting for a moment, because its vote
+/// can be handed over to a coordinator that has none.
+bool mayHandVoteOver(Instant Now, const CoordinatorRoster &Roster,
+                     const ControlCore &Core);
+
 } // namespace turmericdyke
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -63,6 +63,7 @@
   if (!Parsed)
     return m_metrics.increment("turmericdyke_peer_messages_refused_total");
   m_roster.setDomain(Message.m_from, Parsed.value().m_failureDomain);
+  m_roster.setLeaving(Message.m_from, Parsed.value().m_leaving);
   for (const NodeId &Node : Parsed.value().m_known)
     m_roster.discovered(monotonicNow(), Node);
   if (m_ledTerm == 0)
@@ -184,6 +185,7 @@
   RosterMessage Message;
   Message.m_failureDomain = m_settings.m_failureDomain;
   Message.m_known = m_roster.live(Now);
+  Message.m_leaving = m_roster.isLeaving();
   Message.m_directoryTerm = m_directoryCopy.term();
   Message.m_directorySequence = m_directoryCopy.sequence();
   std::string Bytes = encode(Message);
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -8,6 +8,7 @@
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Base/LogSink.h"
+#include "turmericdyke/src/Coordinator/ClusterMembers.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
 #include "turmericdyke/src/Node/CoreCodec.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
@@ -19,8 +20,8 @@
 
 /// Interval at which `ControlCore` must be ticked.
 constexpr absl::Duration CoreTick = absl::Milliseconds(20);
-/// How long a stop waits for another voter to take over leadership, and for
-/// running calls.
+/// How long a stop waits for another node to take over leadership and vote, and
+/// for running calls.
 constexpr absl::Duration StopWait = absl::Seconds(2);
 constexpr absl::Duration StopPollInterval = absl::Milliseconds(50);
 /// A full or failing disk rarely recovers within a second. The delay avoids a
@@ -365,6 +366,7 @@
   LogLine(LogLevel::Info, "stop_begun")
       .field("node", m_settings.m_name)
       .field("leads", leads());
+  m_roster.leave(m_stopStarted);
   if (m_core && m_core->raft().isLeader()) {
     m_core->transferLeadership(m_stopStarted);
     runCore();
@@ -375,11 +377,13 @@
 
 void CoordinatorNode::pollStop() {
   bool Leads = m_core && m_core->raft().isLeader();
-  bool Busy = Leads || m_controlServer->exchanges() > 0;
+  bool Votes = m_core && mayHandVoteOver(monotonicNow(), m_roster, *m_core);
+  bool Busy = Leads || Votes || m_controlServer->exchanges() > 0;
   if (!Busy || monotonicNow() - m_stopStarted >= internal::StopWait) {
     LogLine(LogLevel::Info, "coordinator_stopped")
         .field("node", m_settings.m_name)
-        .field("still_led", Leads);
+        .field("still_led", Leads)
+        .field("vote_not_handed_over", Votes);
     return m_loop.stop();
   }
   m_loop.after(internal::StopPollInterval, [this] { pollStop(); });
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include "turmericdyke/Feed"
 
@@ -278,6 +279,16 @@
         Voters);
 }
 
+TEST_CASE("a list of coordinators tells whether its sender is about to stop, "
+          "and one of an earlier version does not") {
+  RosterMessage Message;
+  Message.m_leaving = true;
+  nlohmann::json Encoded = toJson(Message);
+  CHECK(parseRosterMessage(Encoded).value().m_leaving);
+  Encoded.erase("leaving");
+  CHECK_FALSE(parseRosterMessage(Encoded).value().m_leaving);
+}
+
 TEST_CASE("a lost voter is given up without a replacement while the set is "
           "larger than desired") {
   CoordinatorRosterOptions Options;
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.cpp
@@ -47,6 +47,18 @@
     discovered(Now, Seed);
 }
 
+void CoordinatorRoster::setLeaving(const NodeId &Node, bool Leaving) {
+  if (Leaving)
+    m_leaving.insert(Node);
+  else
+    m_leaving.erase(Node);
+}
+
+void CoordinatorRoster::leave(Instant Now) {
+  setLeaving(m_self, true);
+  m_nextAnnouncement = Now;
+}
+
 std::vector<NodeId> CoordinatorRoster::others() const {
   std::vector<NodeId> All;
   for (const auto &[Node, Entry] : m_known)
@@ -82,12 +94,40 @@
          !internal::contains(Status.m_responding, Voter);
 }
 
+std::vector<NodeId>
+CoordinatorRoster::replaceable(Instant Now,
+                               const ReplicationStatus &Status) const {
+  std::vector<NodeId> Voters;
+  for (const NodeId &Voter : Status.m_voters)
+    if (isLost(Now, Voter, Status))
+      Voters.push_back(Voter);
+  // A leader that stops first gives up its leadership; its successor replaces
+  // it.
+  for (const NodeId &Voter : Status.m_voters)
+    if (Voter != m_self && m_leaving.contains(Voter) &&
+        !internal::contains(Voters, Voter))
+      Voters.push_back(Voter);
+  return Voters;
+}
+
+bool CoordinatorRoster::canSpareVote(Instant Now,
+                                     absl::Span<const NodeId> Voters) const {
+  std::vector<NodeId> Live = live(Now);
+  return Voters.size() > m_options.m_voters ||
+         std::any_of(Live.begin(), Live.end(), [&](const NodeId &Node) {
+           return std::find(Voters.begin(), Voters.end(), Node) ==
+                      Voters.end() &&
+                  !m_leaving.contains(Node);
+         });
+}
+
 std::vector<NodeId>
 CoordinatorRoster::candidates(Instant Now,
                               const ReplicationStatus &Status) const {
   std::vector<NodeId> Candidates = live(Now);
   std::erase_if(Candidates, [&](const NodeId &Node) {
     return internal::contains(Status.m_voters, Node) ||
+           m_leaving.contains(Node) ||
            !internal::contains(Status.m_responding, Node) ||
            !internal::contains(Status.m_caughtUp, Node);
   });
@@ -105,9 +145,7 @@
   };
   while (Desired.size() < m_options.m_voters && !Candidates.empty())
     TakeCandidate();
-  for (const NodeId &Voter : Status.m_voters) {
-    if (!isLost(Now, Voter, Status))
-      continue;
+  for (const NodeId &Voter : replaceable(Now, Status)) {
     if (Desired.size() <= m_options.m_voters) {
       if (Candidates.empty())
         break;
@@ -126,6 +164,9 @@
 }
 
 void CoordinatorRoster::expire(Instant Now, absl::Span<const NodeId> Voters) {
+  std::erase_if(m_leaving, [this](const NodeId &Node) {
+    return Node != m_self && !m_known.contains(Node);
+  });
   std::erase_if(m_domains, [this](const auto &Entry) {
     return Entry.first != m_self && !m_known.contains(Entry.first);
   });
--- a/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
+++ b/packages/feed/turmericdyke/src/Feed/CoordinatorRoster.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "absl/types/span.h"
@@ -49,6 +50,12 @@
   /// Records that another coordinator listed this one.
   void discovered(Instant Now, const NodeId &Node);
   void addSeeds(Instant Now, absl::Span<const NodeId> Seeds);
+  /// Records whether another coordinator is about to stop, so that its vote is
+  /// handed over while it still takes part.
+  void setLeaving(const NodeId &Node, bool Leaving);
+  /// Records that this node is about to stop, and makes it known at once.
+  void leave(Instant Now);
+  bool isLeaving() const { return m_leaving.contains(m_self); }
 
   /// All other coordinators, heard from or only listed by others.
   std::vector<NodeId> others() const;
@@ -59,10 +66,14 @@
   std::vector<NodeId> live(Instant Now) const;
   /// The voter set that a leader should move to from the current one. A lost
   /// voter is given up for another coordinator, and without one if the set is
-  /// larger than desired: an extra lost voter raises the majority. Only
-  /// coordinators that respond and have caught up are added.
+  /// larger than desired: an extra lost voter raises the majority. The same
+  /// holds for a voter that is about to stop. Only coordinators that stay,
+  /// respond and have caught up are added.
   std::vector<NodeId> desiredVoters(Instant Now,
                                     const ReplicationStatus &Status) const;
+  /// Whether this node's vote is not needed: there are more voters than
+  /// desired, or a coordinator without a vote could take it over.
+  bool canSpareVote(Instant Now, absl::Span<const NodeId> Voters) const;
   /// Whether this node should tell the others now whom it knows: once a second,
   /// and soon after it has learned of a coordinator. The next message is due
   /// after that.
@@ -77,12 +88,16 @@
   };
   bool isLost(Instant Now, const NodeId &Voter,
               const ReplicationStatus &Status) const;
+  /// The voters to give up if possible, lost ones first.
+  std::vector<NodeId> replaceable(Instant Now,
+                                  const ReplicationStatus &Status) const;
   std::vector<NodeId> candidates(Instant Now,
                                  const ReplicationStatus &Status) const;
 
   NodeId m_self;
   CoordinatorRosterOptions m_options;
   std::map<NodeId, KnownNode> m_known;
+  std::set<NodeId> m_leaving;
   Instant m_nextAnnouncement = absl::InfinitePast();
   CoordinatorDomains m_domains;
 };
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -130,6 +130,7 @@
 nlohmann::json toJson(const RosterMessage &Message) {
   return {{"failure_domain", Message.m_failureDomain.str()},
           {"known", internal::listJson(Message.m_known)},
+          {"leaving", Message.m_leaving},
           {"directory_term", Message.m_directoryTerm},
           {"directory_sequence", Message.m_directorySequence}};
 }
@@ -176,6 +177,7 @@
   RosterMessage Read;
   internal::JsonReader Reader(Value);
   Reader.id("failure_domain", Read.m_failureDomain)
+      .flag("leaving", Read.m_leaving)
       .number("directory_term", Read.m_directoryTerm)
       .number("directory_sequence", Read.m_directorySequence);
   internal::readList(Reader, "known", Read.m_known);
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -20,6 +20,8 @@
   /// Where the sender runs.
   FailureDomainId m_failureDomain;
   std::vector<NodeId> m_known;
+  /// The sender is about to stop; absent in messages of earlier versions.
+  bool m_leaving = false;
   /// Term and sequence of the sender's copy of the server directory.
   std::uint64_t m_directoryTerm = 0;
   std::uint64_t m_directorySequence = 0;
