--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/random/distributions.h"
+#include "absl/strings/str_join.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Entry/EntryServices.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
@@ -520,7 +521,9 @@
       .field("address", m_target.m_address)
       .field("ending", nameOf(Outcome))
       .field("status", m_headReceived ? m_head.m_status : 0)
+      .field("began", m_headReceived)
       .field("events", m_events.events())
+      .field("parts", absl::StrJoin(m_caller.m_promptParts, ","))
       .field("ms", absl::ToInt64Milliseconds(Now - m_attemptStarted))
       .field("left_ms", absl::ToInt64Milliseconds(m_deadline - Now))
       .field("next", nameOf(Next));
--- a/packages/entry/turmericdyke/src/Entry/EntryProtocol.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryProtocol.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "turmericdyke/src/Base/Result.h"
@@ -28,6 +29,9 @@
   std::string m_model;
   std::int64_t m_promptTokens = 0;
   std::int64_t m_maxOutputTokens = 0;
+  /// Identifiers of the parts of the prompt, in order. Requests share parts;
+  /// the last one belongs to this request or to its session.
+  std::vector<std::string> m_promptParts;
 };
 
 /// Metadata that an attempt sends to the target in addition to the caller's
