Refuse requests whose prompt part crashes the targets that run them

Cause: nothing on this path knew what the broken attempts had in common. Each was sent again, and each new one was sent as if nothing had happened. Change: entry nodes report attempts that break off before or at the start of their responses, with keys for the parts of the prompt (but the last) and for the exact request, and which suspect keys later got through. The leader (CrashAttribution) finds the guilty key: several requests with it crashed several targets over 0.7 s and none got through. Bystanders of a crash do not count, and the most specific part explains the crashes. The verdict goes into the replicated state (the marks of suspect requests, which were used on the other path only), so it outlives the leader and restarts; such requests are refused unsent for 10 minutes, and waiting ones are taken back from their targets. The load it answers: up to a third of a route's requests with the part, beside crashes of many targets at once. Blaming the first part or the caller: sound requests share them.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -4,8 +4,10 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Coordinator/ClusterMembers.h"
+#include "turmericdyke/src/Coordinator/SuspectRecords.h"
 #include "turmericdyke/src/Node/CoreCodec.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
 
@@ -109,6 +111,7 @@
     onSuspects(Request.m_suspects);
     for (const TargetId &Progressing : Request.m_progressing)
       m_progress[Progressing] = Now;
+    onCrashReports(Request);
   } else {
     m_feedRelay.collect(Now, Request);
     if (m_feedRelay.nextRequest() <= Now)
@@ -120,6 +123,58 @@
                             encode(Update));
 }
 
+void CoordinatorNode::onCrashReports(const FeedRequest &Request) {
+  if (Request.m_crashes.empty() && Request.m_sound.empty())
+    return;
+  Instant Now = monotonicNow();
+  for (const CrashReport &Report : Request.m_crashes) {
+    m_crashes.record(Now, Report);
+    LogLine(LogLevel::Info, "crash_recorded")
+        .field("entry", Request.m_node)
+        .field("target", Report.m_target)
+        .field("generation", Report.m_generation)
+        .field("began", Report.m_began)
+        .field("keys", absl::StrJoin(Report.m_keys, ","));
+  }
+  // A request that got through after its crash is reported with it.
+  for (SuspectKey Key : Request.m_sound)
+    m_crashes.markSound(Now, Key);
+  updateSuspects();
+}
+
+void CoordinatorNode::judgeSuspects() {
+  if (m_ledTerm == 0 || m_crashes.empty())
+    return;
+  const ControlState &State = m_core->state();
+  std::vector<CrashAttribution::Verdict> Verdicts =
+      m_crashes.judge(monotonicNow(), [&State](SuspectKey Key) {
+        return wasRefused(State, Key);
+      });
+  for (const CrashAttribution::Verdict &Verdict : Verdicts) {
+    LogLine(LogLevel::Warning, "suspect_refused")
+        .field("node", m_settings.m_name)
+        .field("key", Verdict.m_key)
+        .field("points", Verdict.m_points)
+        .field("crashes", absl::StrJoin(Verdict.m_crashes, ","));
+    m_metrics.increment("turmericdyke_suspects_refused_total");
+    for (const MarkSuspects &Command : refusalCommands(Verdict))
+      (void)m_core->submit(monotonicNow(), Command);
+  }
+  if (Verdicts.empty())
+    return;
+  m_core->tick(monotonicNow(), absl::Now(), m_random);
+  runCore();
+}
+
+void CoordinatorNode::updateSuspects() {
+  SuspectLists Lists = suspectLists(m_core->state(), m_crashes.suspects());
+  bool Urgent = Lists.m_refused != m_suspects.m_refused;
+  m_suspects = std::move(Lists);
+  // Suspects alone are sent with the next response to each entry node.
+  if (Urgent)
+    pushFeed();
+}
+
 void CoordinatorNode::onFeedUpdate(const ReceivedMessage &Message) {
   Result<FeedUpdate, PeerError> Parsed = decodeFeedUpdate(Message.m_bytes);
   if (!Parsed)
@@ -178,6 +233,7 @@
     sendRoster(Now);
   if (m_core)
     logWantedVoters(Now, updateClusterMembers(Now, m_roster, *m_core));
+  judgeSuspects();
   m_loop.after(MembersInterval, [this] { tickRoster(); });
 }
 
@@ -245,6 +301,7 @@
   Context.m_complete = m_settled && m_planner.leading();
   Context.m_routingVersion = m_catalog.m_version;
   Context.m_routingDocument = &m_document;
+  Context.m_suspects = &m_suspects;
   if (m_ledTerm == 0 && !m_stopping && m_feedRelay.isFresh(Now))
     m_feedRelay.fillContext(Now, Context);
   return Context;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -324,6 +324,7 @@
 }
 
 void CoordinatorNode::applyState() {
+  updateSuspects();
   const SetRouting &Routing = m_core->state().routing();
   if (Routing.m_version <= m_catalog.m_version)
     return;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -15,6 +15,7 @@
 #include "turmericdyke/src/Coordinator/ServerCalls.h"
 #include "turmericdyke/src/Feed/AnnouncementRelay.h"
 #include "turmericdyke/src/Feed/CoordinatorRoster.h"
+#include "turmericdyke/src/Feed/CrashAttribution.h"
 #include "turmericdyke/src/Feed/DirectoryCopy.h"
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 #include "turmericdyke/src/Feed/FeedRelay.h"
@@ -129,6 +130,13 @@
   /// Probes the servers that have missed an announcement.
   void probeSilentServers();
   void onSuspects(const std::vector<TargetId> &Heads);
+  /// Takes the reports of entry nodes on attempts that broke off, and on keys
+  /// that are sound.
+  void onCrashReports(const FeedRequest &Request);
+  /// Has requests refused that are found to crash their targets.
+  void judgeSuspects();
+  /// Updates the suspect lists of the feed.
+  void updateSuspects();
   void publishTargets();
   std::vector<ServingTarget> servingTargets() const;
   FeedContext feedContext() const;
@@ -179,6 +187,8 @@
   ServerDirectory m_servers;
   GroupPlanner m_planner;
   FeedPublisher m_feed;
+  CrashAttribution m_crashes;
+  SuspectLists m_suspects;
   /// When each server was last probed.
   std::map<TargetId, Instant> m_lastProbes;
   /// When each head last sent events, as reported by entry nodes.
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -72,6 +72,7 @@
     m_planner.stop();
     m_feed.reset();
     m_announcementRelay.clear();
+    updateSuspects();
     inheritServers();
     m_fenceTicket = m_core->submit(Now, ReserveFencingTokens{m_self, 1});
     schedulePlan();
@@ -83,6 +84,7 @@
   m_fenceTicket = 0;
   m_fencingToken = 0;
   m_planner.stop();
+  m_crashes.reset();
   m_feed.reset();
   m_feedRelay.reset();
 }
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -9,6 +9,7 @@
 #include "turmericdyke/src/Entry/EntryServices.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
 #include "turmericdyke/src/Serving/PromptTime.h"
+#include "turmericdyke/src/Serving/RequestKeys.h"
 
 namespace turmericdyke {
 
@@ -35,6 +36,10 @@
 /// target.
 constexpr double RetriesReservedForFailures = 3;
 
+/// A response with so many events has got past its start. A target that crashes
+/// at the start may still have sent the first one.
+constexpr std::uint64_t EventsPastStart = 2;
+
 constexpr int FirstFailure = 300;
 constexpr int FirstServerFailure = 500;
 
@@ -49,6 +54,8 @@
     return RetryAfterCause::Full;
   case Refusal::AttemptsFailed:
     return RetryAfterCause::AttemptsFailed;
+  case Refusal::CrashesTargets:
+    return RetryAfterCause::CrashesTargets;
   default:
     return std::nullopt;
   }
@@ -61,9 +68,9 @@
 
 std::string_view nameOf(Refusal Reason) {
   constexpr std::string_view Names[] = {
-      "no_route",  "no_key",           "bad_request",     "not_informed",
-      "no_target", "overloaded",       "attempts_failed", "may_have_run",
-      "timed_out", "timed_out_not_run"};
+      "no_route",     "no_key",     "bad_request",      "not_informed",
+      "no_target",    "overloaded", "attempts_failed",  "crashes_targets",
+      "may_have_run", "timed_out",  "timed_out_not_run"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -160,8 +167,53 @@
   return Options;
 }
 
+const std::vector<SuspectKey> &EntryExchange::keys() {
+  if (m_keys.empty()) {
+    const HttpRequest &Request = m_exchange->request();
+    m_keys =
+        requestKeys({m_customer, Request.m_method, Request.m_target,
+                     m_caller.m_model, Request.m_body, m_caller.m_promptParts});
+  }
+  return m_keys;
+}
+
+bool EntryExchange::isRefused() {
+  return m_services.m_suspects.active() &&
+         m_services.m_suspects.isRefused(keys());
+}
+
+void EntryExchange::reportCrash() {
+  CrashReport Report;
+  Report.m_target = m_target.m_id;
+  Report.m_generation = m_target.m_generation;
+  // A plain response is complete or missing, so nothing shows whether it had
+  // begun.
+  Report.m_began = m_headReceived || m_route->m_kind != RouteKind::Stream;
+  Report.m_keys = keys();
+  LogLine(LogLevel::Info, "crash_reported")
+      .field("request", m_caller.m_id)
+      .field("target", m_target.m_id)
+      .field("generation", m_target.m_generation)
+      .field("began", Report.m_began)
+      .field("keys", absl::StrJoin(Report.m_keys, ","));
+  m_services.m_suspects.attemptCrashed(std::move(Report));
+  m_services.m_feed.requestNow(monotonicNow());
+}
+
+void EntryExchange::onRefusedKeys() {
+  bool Begun = m_events.events() > m_eventsBefore;
+  if (!m_connection || Begun || m_route->m_kind == RouteKind::AtMostOnce ||
+      m_callerGone || !isRefused())
+    return;
+  m_connection->cancel();
+  endAttempt(false);
+  refuse(Refusal::MayHaveRun);
+}
+
 void EntryExchange::attempt() {
   Instant Now = monotonicNow();
+  if (isRefused())
+    return refuse(m_mayHaveRun ? Refusal::MayHaveRun : Refusal::CrashesTargets);
   bool NeedsLease = !m_customer.empty();
   if (NeedsLease && Now >= m_services.m_feed.leaseUntil())
     return refuse(m_mayHaveRun ? Refusal::MayHaveRun : Refusal::NotInformed);
@@ -216,6 +268,7 @@
   ++m_services.m_uses[Target.m_id];
   m_services.m_attempts[Target.m_id].insert(this);
   m_eventRelayed = false;
+  m_eventsBefore = m_events.events();
   m_staleConnection = false;
   m_stallTracked = m_route->m_kind == RouteKind::Stream;
   if (m_stallTracked)
@@ -316,6 +369,9 @@
   if (m_stallTracked)
     m_services.m_stalls.streamProgressed(Now, m_target.m_id, First);
   m_firstByte = std::min(m_firstByte, Now);
+  if (m_services.m_suspects.active() &&
+      m_events.events() >= m_eventsBefore + internal::EventsPastStart)
+    m_services.m_suspects.requestProgressed(Now, keys());
   m_exchange->write(Complete);
   if (m_exchange->unsentBytes() > internal::MaxUnsentBytes && m_connection) {
     m_connection->setReading(false);
@@ -353,6 +409,11 @@
                       m_connection && m_connection->calls() > 1;
   if (m_staleConnection)
     m_tried.erase(m_target.m_id);
+  bool BrokeOff = Outcome == AttemptOutcome::Lost && !m_staleConnection &&
+                  !m_invalid && End != ClientCallStatus::Malformed;
+  if (BrokeOff &&
+      m_events.events() < m_eventsBefore + internal::EventsPastStart)
+    reportCrash();
   endAttempt(End == ClientCallStatus::Complete && !m_invalid);
   finishAttempt(Outcome);
 }
@@ -396,6 +457,8 @@
   Instant Now = monotonicNow();
   bool Failed = Outcome == AttemptOutcome::NotSent ||
                 (Outcome == AttemptOutcome::Lost && !m_staleConnection);
+  if (Outcome == AttemptOutcome::Answered && m_services.m_suspects.active())
+    m_services.m_suspects.requestProgressed(Now, keys());
   if (Outcome == AttemptOutcome::Answered)
     m_services.m_runTimes.recordRun(m_service, m_caller.m_model,
                                     Now - m_attemptStarted);
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "turmericdyke/src/Catalog/RouteTable.h"
 #include "turmericdyke/src/Entry/EntryProtocol.h"
@@ -37,6 +38,9 @@
   /// released for another group: a stream moves to another target if there is
   /// ample capacity.
   void onTargetClosing();
+  /// Further requests are refused because they crash their targets: one that
+  /// has not begun at its target is taken back.
+  void onRefusedKeys();
 
   bool onResponseHead(const HttpResponseHead &Head) override;
   void onResponseBody(std::string_view Bytes) override;
@@ -47,6 +51,12 @@
   std::optional<Refusal> admit();
   ServiceId chooseService();
   std::vector<PlacementOption> placementOptions() const;
+  /// What may make this request crash its target; worked out when first asked
+  /// for.
+  const std::vector<SuspectKey> &keys();
+  bool isRefused();
+  /// Reports that the current attempt broke off as if its target had crashed.
+  void reportCrash();
   void attempt();
   void send(const ServingTarget &Target);
   /// When a sound target has sent the first event of the response.
@@ -86,6 +96,7 @@
   Instant m_deadline;
   EventLoop::Timer m_timer;
 
+  std::vector<SuspectKey> m_keys;
   std::int64_t m_attempts = 0;
   std::set<TargetId> m_tried;
   bool m_mayHaveRun = false;
@@ -102,6 +113,8 @@
   bool m_invalid = false;
   /// The current attempt has relayed an event.
   bool m_eventRelayed = false;
+  /// Events relayed before the current attempt.
+  std::uint64_t m_eventsBefore = 0;
   /// The current attempt used a kept-alive connection that the target had
   /// closed.
   bool m_staleConnection = false;
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_join.h"
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Base/LogSink.h"
@@ -177,7 +178,9 @@
           std::exchange(m_services->m_modelRequests, 0);
       Outgoing.m_request.m_suspects = std::exchange(m_suspects, {});
       Outgoing.m_request.m_progressing = m_services->m_stalls.takeProgress();
+      m_services->m_suspects.takeReports(Outgoing.m_request);
     }
+    Outgoing.m_request.m_suspectsVersion = m_services->m_suspects.version();
     Outgoing.m_request.m_stopping = m_stopping;
     auto Sent = m_transport->sendTo(Outgoing.m_coordinator.str(),
                                     PeerMessageKind::FeedRequest,
@@ -223,7 +226,7 @@
     if (Stall.m_abandon)
       notifyRequests(Stall.m_target, &EntryExchange::onTargetEnded);
   }
-  if (!m_suspects.empty()) {
+  if (!m_suspects.empty() || m_services->m_suspects.hasReports()) {
     m_feed->requestNow(Now);
     tickFeed();
   }
@@ -262,11 +265,27 @@
     m_services->m_stalls.closedToNew(Ended);
     notifyRequests(Ended, &EntryExchange::onTargetClosing);
   }
+  if (Change.m_suspects)
+    applySuspects(*Change.m_suspects);
   updateInformed();
   if (m_feed->nextTick() <= Now)
     tickFeed();
 }
 
+void EntryNode::applySuspects(const SuspectLists &Lists) {
+  if (!m_services->m_suspects.update(Lists))
+    return;
+  LogLine(LogLevel::Info, "refused_keys")
+      .field("keys", absl::StrJoin(Lists.m_refused, ","))
+      .field("suspects", Lists.m_suspects.size())
+      .field("term", m_feed->term());
+  std::vector<TargetId> Targets;
+  for (const auto &[Target, Running] : m_services->m_attempts)
+    Targets.push_back(Target);
+  for (const TargetId &Target : Targets)
+    notifyRequests(Target, &EntryExchange::onRefusedKeys);
+}
+
 void EntryNode::applyRouting(std::string_view Document, std::uint64_t Version) {
   Result<Catalog, CatalogError> Parsed = m_protocol.readCatalog(Document);
   if (!Parsed) {
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.h
@@ -48,6 +48,7 @@
   void notifyRequests(const TargetId &Target,
                       void (EntryExchange::*Callback)());
   void applyRouting(std::string_view Document, std::uint64_t Version);
+  void applySuspects(const SuspectLists &Lists);
   void updateInformed();
   bool ready() const;
   void beginStop();
--- a/packages/entry/turmericdyke/src/Entry/EntryProtocol.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryProtocol.h
@@ -79,6 +79,8 @@
   Overloaded,
   /// Every attempt failed before the request ran. Not run.
   AttemptsFailed,
+  /// Requests like this one crash the targets that run them. Not run.
+  CrashesTargets,
   /// The request may have run, and its response is lost.
   MayHaveRun,
   /// The deadline has passed; the request may have run.
--- a/packages/entry/turmericdyke/src/Entry/EntryServices.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -11,6 +11,7 @@
 #include "turmericdyke/src/Catalog/RouteTable.h"
 #include "turmericdyke/src/Entry/EntrySettings.h"
 #include "turmericdyke/src/Feed/FeedFollower.h"
+#include "turmericdyke/src/Feed/SuspectWatch.h"
 #include "turmericdyke/src/Http/HttpClientPool.h"
 #include "turmericdyke/src/Loop/EventLoop.h"
 #include "turmericdyke/src/Serving/Placement.h"
@@ -42,6 +43,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   TargetHealth m_health;
   StallDetector m_stalls;
+  SuspectWatch m_suspects;
   RunTimes m_runTimes;
   Instant m_started = monotonicNow();
   PlacementOptions m_placement;
--- /dev/null
+++ b/packages/feed/turmericdyke/src/Feed/CrashAttribution.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Fleet/CrashReport.h"
+
+namespace turmericdyke {
+
+struct CrashAttributionOptions {
+  /// Points for one crash: of a request whose response had begun, and of one
+  /// that may just have been waiting.
+  int m_pointsIfBegun = 2;
+  int m_pointsIfWaiting = 1;
+  /// An exact request with so many points is guilty: it crashed three targets
+  /// at the start of its response.
+  int m_guiltyPointsOfRequest = 6;
+  /// A part of a prompt with so many points is guilty, if at least two requests
+  /// contribute, each at most half.
+  int m_guiltyPointsOfPart = 8;
+  /// The crashes of a guilty part are spread over at least this time: the hosts
+  /// of a domain fail together, with the requests that they run.
+  absl::Duration m_minSpan = absl::Milliseconds(700);
+  /// Points for a key that was refused before.
+  int m_guiltyPointsAgain = 2;
+  /// Time for all entry nodes to report that a key is sound, before it is
+  /// refused: one interval of their requests and a margin.
+  absl::Duration m_verdictDelay = absl::Milliseconds(300);
+  /// Evidence is kept this long, as such requests may be rare.
+  absl::Duration m_memory = absl::Hours(1);
+  std::size_t m_maxReports = 256;
+  /// Bounds the list that is sent to the entry nodes.
+  std::size_t m_maxSuspects = 64;
+};
+
+/// Finds out which part of a prompt, or which exact request, crashes the
+/// targets that run it, from what entry nodes report of attempts that broke
+/// off.
+///
+/// Load: up to a third of a route's requests crash their targets, while other
+/// targets crash for reasons of their own, several at once. Sound requests on
+/// the same targets break off with the guilty one and share its caller and most
+/// of its parts, so a key is guilty only if it takes part in crashes at several
+/// times and no request with it gets through in between. Among guilty keys the
+/// most specific one is taken, and explains the crashes it took part in.
+class CrashAttribution {
+public:
+  explicit CrashAttribution(CrashAttributionOptions Options = {});
+
+  void record(Instant Now, CrashReport Report);
+  /// A request with this key has got past the start of its response.
+  void markSound(Instant Now, SuspectKey Key);
+  void reset();
+
+  struct Verdict {
+    SuspectKey m_key = 0;
+    int m_points = 0;
+    /// The targets whose crashes convict the key, oldest first.
+    std::vector<std::string> m_crashes;
+  };
+  /// Returns the keys that were found guilty since the last call and forgets
+  /// their evidence. `WasRefused` tells whether a key was refused before.
+  std::vector<Verdict> judge(Instant Now,
+                             const std::function<bool(SuspectKey)> &WasRefused);
+
+  /// Keys of unexplained crashes that were not sound since, newest first.
+  std::vector<SuspectKey> suspects() const;
+  bool empty() const { return m_reports.empty(); }
+
+private:
+  struct Recorded {
+    Instant m_at;
+    CrashReport m_report;
+  };
+  /// The crashes that one key took part in, each of them once.
+  struct Evidence {
+    std::vector<const Recorded *> m_crashes;
+    /// Position among the keys of its requests: higher is more specific.
+    std::size_t m_position = 0;
+    /// The key stands for an exact request.
+    bool m_exact = false;
+  };
+
+  void expire(Instant Now);
+  bool isOpen(const Recorded &Value, SuspectKey Key) const;
+  /// Whether another request is known to have begun at this crash.
+  bool isBystander(const Recorded &Value) const;
+  std::map<SuspectKey, Evidence> evidence() const;
+  int pointsOf(const Evidence &Value) const;
+  bool isGuilty(const Evidence &Value, bool WasRefused) const;
+  /// Forgets what the verdict explains.
+  void explain(SuspectKey Key, const Evidence &Guilty);
+
+  CrashAttributionOptions m_options;
+  std::deque<Recorded> m_reports;
+  std::map<SuspectKey, Instant> m_sound;
+  /// Since when the evidence against a key has been sufficient.
+  std::map<SuspectKey, Instant> m_accused;
+};
+
+} // namespace turmericdyke
--- a/packages/feed/turmericdyke/src/Feed/FeedAssignment.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedAssignment.cpp
@@ -1,8 +1,9 @@
 #include "turmericdyke/src/Feed/FeedAssignment.h"
 
-#include <string_view>
 #include <utility>
 
+#include "turmericdyke/src/Base/StableHash.h"
+
 namespace turmericdyke {
 
 namespace internal {
@@ -12,21 +13,6 @@
 /// once.
 constexpr std::size_t MinRelays = 2;
 
-constexpr std::uint64_t FnvOffset = 0xcbf29ce484222325;
-constexpr std::uint64_t FnvPrime = 0x100000001b3;
-
-/// A hash that is the same in all processes, which absl::Hash is not.
-std::uint64_t stableHash(std::string_view A, std::string_view B) {
-  std::uint64_t Hash = FnvOffset;
-  for (std::string_view Part : {A, B})
-    for (char Byte : Part)
-      Hash = (Hash ^ static_cast<unsigned char>(Byte)) * FnvPrime;
-  // FNV mixes the last bytes into the low bits only.
-  Hash ^= Hash >> 32;
-  Hash *= 0xd6e8feb86659fd93;
-  return Hash ^ (Hash >> 32);
-}
-
 } // namespace
 } // namespace internal
 
@@ -45,7 +31,7 @@
     auto Domain = Domains.find(Node);
     bool Near =
         Domain != Domains.end() && Domain->second == Client.m_failureDomain;
-    std::pair Rank(Near, internal::stableHash(Client.m_name, Node.str()));
+    std::pair Rank(Near, stableHash({Client.m_name, Node.str()}));
     if (Best != Leader && Rank <= BestRank)
       continue;
     Best = Node;
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -129,6 +129,7 @@
         decompress(Update.m_routingDocument, internal::MaxDocumentBytes);
     Change.m_routingVersion = Update.m_routingVersion;
   }
+  Change.m_suspects = Update.m_suspects;
   applyUses(Now, Update);
   // An update that starts after the held state would leave a gap. The next
   // request states what is held.
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -37,6 +37,8 @@
   /// not be decompressed.
   std::optional<std::string> m_routingDocument;
   std::uint64_t m_routingVersion = 0;
+  /// Set if the suspect lists have changed.
+  std::optional<SuspectLists> m_suspects;
   /// The term or the leader has changed.
   bool m_leaderChanged = false;
 };
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -185,6 +185,12 @@
       Update.m_removed.push_back(Id);
 }
 
+bool FeedPublisher::suspectsDue(const Subscriber &State,
+                                const FeedContext &Context) {
+  return Context.m_suspects != nullptr &&
+         Context.m_suspects->m_version != State.m_suspectsVersion;
+}
+
 void FeedPublisher::fillUpdate(Instant Now, const NodeId &To, Subscriber &State,
                                const FeedContext &Context, FeedUpdate &Update) {
   Update.m_term = Context.m_term;
@@ -209,6 +215,10 @@
     State.m_documentSent = Now;
     State.m_routingVersion = Context.m_routingVersion;
   }
+  if (suspectsDue(State, Context)) {
+    Update.m_suspects = *Context.m_suspects;
+    State.m_suspectsVersion = Context.m_suspects->m_version;
+  }
   State.m_sequence = std::max(State.m_sequence, m_sequence);
   Update.m_uses = encodedUses(Now, Context);
 }
@@ -233,6 +243,7 @@
   else
     State.m_entries = Request.m_stopping ? 0 : 1;
   State.m_routingVersion = Request.m_routingVersion;
+  State.m_suspectsVersion = Request.m_suspectsVersion;
   // The sequence numbers of a node that follows another term are meaningless in
   // this one.
   State.m_sequence = Request.m_term == Context.m_term ? Request.m_sequence : 0;
@@ -255,7 +266,8 @@
     return Updates;
   removeSilent(Now);
   for (auto &[Node, State] : m_subscribers)
-    if (State.m_sequence < m_sequence || documentDue(Now, State, Context))
+    if (State.m_sequence < m_sequence || suspectsDue(State, Context) ||
+        documentDue(Now, State, Context))
       fillUpdate(Now, Node, State, Context, Updates[Node]);
   return Updates;
 }
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
@@ -33,6 +33,8 @@
   /// Number of entry nodes of the whole system, as reported by the leader; set
   /// for a relay.
   std::int64_t m_entries = 0;
+  /// What is known of requests that crash their targets; null for nothing.
+  const SuspectLists *m_suspects = nullptr;
   /// Requests at each target of the entry nodes that other coordinators serve;
   /// set for a relay.
   const std::map<TargetId, std::int64_t> *m_usesElsewhere = nullptr;
@@ -69,7 +71,8 @@
   /// Returns the response to a request.
   FeedUpdate respond(Instant Now, const FeedRequest &Request,
                      const FeedContext &Context);
-  /// Updates for the nodes that have not been sent the newest state.
+  /// Updates for the nodes that have not been sent the newest targets, routing
+  /// document or suspect lists.
   std::map<NodeId, FeedUpdate> pendingUpdates(Instant Now,
                                               const FeedContext &Context);
 
@@ -89,6 +92,7 @@
     /// Entry nodes that the subscriber stands for: one, or those of a relay.
     std::int64_t m_entries = 1;
     bool m_relay = false;
+    std::uint64_t m_suspectsVersion = 0;
     Instant m_documentSent = absl::InfinitePast();
   };
   struct Published {
@@ -102,6 +106,7 @@
   /// Whether the routing document is due for the node.
   bool documentDue(Instant Now, const Subscriber &State,
                    const FeedContext &Context) const;
+  static bool suspectsDue(const Subscriber &State, const FeedContext &Context);
   const std::string &compressedDocument(const FeedContext &Context);
   /// The encoded sums of all uses, at most a few milliseconds old.
   const std::string &encodedUses(Instant Now, const FeedContext &Context);
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
@@ -10,7 +10,8 @@
 namespace internal {
 namespace {
 
-void mergeInto(std::vector<TargetId> &All, const std::vector<TargetId> &More) {
+template <class Entry>
+void mergeInto(std::vector<Entry> &All, const std::vector<Entry> &More) {
   All.insert(All.end(), More.begin(), More.end());
   std::sort(All.begin(), All.end());
   All.erase(std::unique(All.begin(), All.end()), All.end());
@@ -40,6 +41,9 @@
   Request.m_modelRequests = std::exchange(m_modelRequests, 0);
   Request.m_suspects = std::exchange(m_suspects, {});
   Request.m_progressing = std::exchange(m_progressing, {});
+  Request.m_suspectsVersion = m_suspectLists.m_version;
+  Request.m_crashes = std::exchange(m_crashes, {});
+  Request.m_sound = std::exchange(m_sound, {});
   m_reportedUses.clear();
   for (const auto &[Target, Requests] : Publisher.uses())
     m_reportedUses.push_back({Target, Requests});
@@ -51,7 +55,10 @@
   m_modelRequests += Request.m_modelRequests;
   internal::mergeInto(m_suspects, Request.m_suspects);
   internal::mergeInto(m_progressing, Request.m_progressing);
-  if (!Request.m_suspects.empty())
+  internal::mergeInto(m_sound, Request.m_sound);
+  m_crashes.insert(m_crashes.end(), Request.m_crashes.begin(),
+                   Request.m_crashes.end());
+  if (!Request.m_suspects.empty() || !Request.m_crashes.empty())
     requestNow(Now);
 }
 
@@ -82,11 +89,13 @@
       Elsewhere = std::max<std::int64_t>(0, Elsewhere - Own.m_requests);
     }
   }
+  if (Update.m_suspects)
+    m_suspectLists = *Update.m_suspects;
   bool Behind = Update.m_sequence > Publisher.sequence();
   bool Changed = Publisher.mirror(Update);
   if (Behind && !Changed)
     requestNow(Now);
-  return Changed || Completed;
+  return Changed || Completed || Update.m_suspects;
 }
 
 bool FeedRelay::isFresh(Instant Now) const {
@@ -102,6 +111,7 @@
   Context.m_coordinators = m_coordinators;
   Context.m_entries = m_entries;
   Context.m_usesElsewhere = &m_usesElsewhere;
+  Context.m_suspects = &m_suspectLists;
   Context.m_routingConfirmed = Context.m_routingVersion >= m_confirmedRouting;
 }
 
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.h
@@ -38,7 +38,8 @@
   FeedRequest request(Instant Now, const FeedPublisher &Publisher);
   /// Collects the reports of an entry node.
   void collect(Instant Now, const FeedRequest &Request);
-  /// Applies an update of the leader. Returns whether targets changed.
+  /// Applies an update of the leader. Returns whether targets or suspect lists
+  /// changed.
   bool receive(Instant Now, const FeedUpdate &Update, FeedPublisher &Publisher);
 
   /// Whether the state is recent enough to be passed on.
@@ -65,10 +66,14 @@
   std::vector<TargetUse> m_reportedUses;
   std::map<TargetId, std::int64_t> m_usesElsewhere;
 
+  SuspectLists m_suspectLists;
+
   // Collected for the next request.
   std::int64_t m_modelRequests = 0;
   std::vector<TargetId> m_suspects;
   std::vector<TargetId> m_progressing;
+  std::vector<CrashReport> m_crashes;
+  std::vector<SuspectKey> m_sound;
 };
 
 } // namespace turmericdyke
--- /dev/null
+++ b/packages/feed/turmericdyke/src/Feed/SuspectWatch.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "absl/types/span.h"
+#include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Fleet/CrashReport.h"
+
+namespace turmericdyke {
+
+struct FeedRequest;
+
+/// The entry node's side of `CrashAttribution`: which requests are refused, and
+/// what this node has to report on crashes and on suspect keys.
+class SuspectWatch {
+public:
+  /// Takes over the lists of the leader. Returns whether a key was added to the
+  /// refused ones.
+  bool update(const SuspectLists &Lists);
+  std::uint64_t version() const { return m_version; }
+
+  /// Whether any key is suspect or refused. If not, the keys of a request need
+  /// not be worked out.
+  bool active() const { return !m_suspects.empty() || !m_refused.empty(); }
+  bool isRefused(absl::Span<const SuspectKey> Keys) const;
+
+  /// An attempt broke off as if its target had crashed.
+  void attemptCrashed(CrashReport Report);
+  /// A request has got past the start of its response.
+  void requestProgressed(Instant Now, absl::Span<const SuspectKey> Keys);
+
+  bool hasReports() const { return !m_reports.empty() || !m_sound.empty(); }
+  /// Moves the reports into a request to the leader.
+  void takeReports(FeedRequest &Request);
+
+private:
+  std::uint64_t m_version = 0;
+  std::set<SuspectKey> m_suspects;
+  std::set<SuspectKey> m_refused;
+  std::vector<CrashReport> m_reports;
+  std::set<SuspectKey> m_sound;
+  /// When each suspect key was last reported as sound.
+  std::map<SuspectKey, Instant> m_reportedSound;
+};
+
+} // namespace turmericdyke
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -23,6 +23,15 @@
           {"g", Value.m_generation}};
 }
 
+Json entryJson(SuspectKey Value) { return Value; }
+template <class Entry> Json listJson(const std::vector<Entry> &Entries);
+Json entryJson(const CrashReport &Value) {
+  return {{"t", Value.m_target.str()},
+          {"g", Value.m_generation},
+          {"b", Value.m_began},
+          {"k", listJson(Value.m_keys)}};
+}
+
 template <class Entry> Json listJson(const std::vector<Entry> &Entries) {
   Json List = Json::array();
   for (const Entry &Value : Entries)
@@ -61,6 +70,28 @@
   propagateError(Reader, Outer);
 }
 
+void readEntry(const Json &Value, SuspectKey &Entry, JsonReader &Outer) {
+  if (Value.is_number_unsigned())
+    Entry = Value.get<SuspectKey>();
+  else
+    Outer.fail("list", "holds something that is no key");
+}
+
+template <class Entry>
+void readList(JsonReader &Reader, const char *Field,
+              std::vector<Entry> &Entries);
+
+void readEntry(const Json &Value, CrashReport &Entry, JsonReader &Outer) {
+  JsonReader Reader(Value);
+  Reader.id("t", Entry.m_target, true)
+      .number("g", Entry.m_generation)
+      .flag("b", Entry.m_began);
+  readList(Reader, "k", Entry.m_keys);
+  if (Entry.m_keys.empty() || Entry.m_keys.size() > MaxKeysOfRequest)
+    Reader.fail("k", "is empty or has too many entries");
+  propagateError(Reader, Outer);
+}
+
 template <class Entry>
 void readList(JsonReader &Reader, const char *Field,
               std::vector<Entry> &Entries) {
@@ -70,12 +101,22 @@
   if (List->size() > MaxFeedEntries)
     return Reader.fail(Field, "has too many entries");
   for (const Json &Value : *List) {
-    Entry Read;
+    Entry Read{};
     readEntry(Value, Read, Reader);
     Entries.push_back(std::move(Read));
   }
 }
 
+SuspectLists readSuspectLists(const Json &Value, JsonReader &Outer) {
+  SuspectLists Lists;
+  JsonReader Reader(Value);
+  Reader.number("version", Lists.m_version);
+  readList(Reader, "suspects", Lists.m_suspects);
+  readList(Reader, "refused", Lists.m_refused);
+  propagateError(Reader, Outer);
+  return Lists;
+}
+
 Json binaryJson(std::string_view Bytes) {
   return Json::binary({Bytes.begin(), Bytes.end()});
 }
@@ -149,27 +190,37 @@
           {"model_requests", Message.m_modelRequests},
           {"suspects", internal::listJson(Message.m_suspects)},
           {"progressing", internal::listJson(Message.m_progressing)},
+          {"suspect_keys_version", Message.m_suspectsVersion},
+          {"crashes", internal::listJson(Message.m_crashes)},
+          {"sound_keys", internal::listJson(Message.m_sound)},
           {"stopping", Message.m_stopping}};
 }
 
 nlohmann::json toJson(const FeedUpdate &Message) {
-  return {{"term", Message.m_term},
-          {"leader", Message.m_leader.str()},
-          {"leads", Message.m_leads},
-          {"relays", Message.m_relays},
-          {"age_us", Message.m_ageMicros},
-          {"source", Message.m_source.str()},
-          {"coordinators", internal::listJson(Message.m_coordinators)},
-          {"echo_us", Message.m_echoMicros},
-          {"from", Message.m_from},
-          {"sequence", Message.m_sequence},
-          {"complete", Message.m_complete},
-          {"targets", internal::listJson(Message.m_targets)},
-          {"removed", internal::listJson(Message.m_removed)},
-          {"uses", internal::binaryJson(Message.m_uses)},
-          {"entries", Message.m_entries},
-          {"routing", Message.m_routingVersion},
-          {"document", internal::binaryJson(Message.m_routingDocument)}};
+  nlohmann::json Object = {
+      {"term", Message.m_term},
+      {"leader", Message.m_leader.str()},
+      {"leads", Message.m_leads},
+      {"relays", Message.m_relays},
+      {"age_us", Message.m_ageMicros},
+      {"source", Message.m_source.str()},
+      {"coordinators", internal::listJson(Message.m_coordinators)},
+      {"echo_us", Message.m_echoMicros},
+      {"from", Message.m_from},
+      {"sequence", Message.m_sequence},
+      {"complete", Message.m_complete},
+      {"targets", internal::listJson(Message.m_targets)},
+      {"removed", internal::listJson(Message.m_removed)},
+      {"uses", internal::binaryJson(Message.m_uses)},
+      {"entries", Message.m_entries},
+      {"routing", Message.m_routingVersion},
+      {"document", internal::binaryJson(Message.m_routingDocument)}};
+  if (Message.m_suspects)
+    Object["suspect_keys"] = {
+        {"version", Message.m_suspects->m_version},
+        {"suspects", internal::listJson(Message.m_suspects->m_suspects)},
+        {"refused", internal::listJson(Message.m_suspects->m_refused)}};
+  return Object;
 }
 
 Result<RosterMessage, FleetError>
@@ -197,10 +248,13 @@
       .number("sequence", Read.m_sequence)
       .number("routing", Read.m_routingVersion)
       .number("model_requests", Read.m_modelRequests)
+      .number("suspect_keys_version", Read.m_suspectsVersion)
       .flag("stopping", Read.m_stopping);
   internal::readList(Reader, "uses", Read.m_uses);
   internal::readList(Reader, "suspects", Read.m_suspects);
   internal::readList(Reader, "progressing", Read.m_progressing);
+  internal::readList(Reader, "crashes", Read.m_crashes);
+  internal::readList(Reader, "sound_keys", Read.m_sound);
   return internal::makeResult(Reader, Read);
 }
 
@@ -224,6 +278,8 @@
   internal::readList(Reader, "coordinators", Read.m_coordinators);
   internal::readList(Reader, "targets", Read.m_targets);
   internal::readList(Reader, "removed", Read.m_removed);
+  if (const nlohmann::json *Lists = Reader.object("suspect_keys"))
+    Read.m_suspects = internal::readSuspectLists(*Lists, Reader);
   return internal::makeResult(Reader, Read);
 }
 
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "absl/types/span.h"
 #include "turmericdyke/src/Base/Result.h"
 #include "turmericdyke/src/Base/StringId.h"
+#include "turmericdyke/src/Fleet/CrashReport.h"
 #include "turmericdyke/src/Fleet/FleetError.h"
 
 namespace turmericdyke {
@@ -77,6 +79,12 @@
   std::vector<TargetId> m_suspects;
   /// Targets whose streams have sent something since the last request.
   std::vector<TargetId> m_progressing;
+  /// Version of the suspect lists it holds.
+  std::uint64_t m_suspectsVersion = 0;
+  /// Attempts that broke off since its last report, and suspect keys of
+  /// requests that got past the start of their responses.
+  std::vector<CrashReport> m_crashes;
+  std::vector<SuspectKey> m_sound;
   bool m_stopping = false;
 };
 
@@ -113,6 +121,8 @@
   std::uint64_t m_routingVersion = 0;
   /// Compressed; set if the receiver has an older version.
   std::string m_routingDocument;
+  /// Set if the receiver holds another version.
+  std::optional<SuspectLists> m_suspects;
 };
 
 /// The encoded form of `FeedUpdate::m_uses`, and back. Malformed bytes and more
--- a/packages/serving/turmericdyke/src/Serving/RetryAfter.cpp
+++ b/packages/serving/turmericdyke/src/Serving/RetryAfter.cpp
@@ -17,6 +17,8 @@
 constexpr absl::Duration ShortOutage = absl::Milliseconds(600);
 /// Delay after which another attempt may reach a healthy target.
 constexpr absl::Duration RetryDelay = absl::Milliseconds(300);
+/// How long the coordinators have such requests refused.
+constexpr absl::Duration SuspectRefusalTime = absl::Minutes(10);
 /// Delays are extended by up to this fraction of themselves.
 constexpr double JitterFraction = 0.4;
 
@@ -34,6 +36,8 @@
     return std::max(Input.m_meanRunTime, RetryDelay);
   case RetryAfterCause::AttemptsFailed:
     return RetryDelay;
+  case RetryAfterCause::CrashesTargets:
+    return SuspectRefusalTime;
   }
   return RetryDelay;
 }
--- a/packages/serving/turmericdyke/src/Serving/RetryAfter.h
+++ b/packages/serving/turmericdyke/src/Serving/RetryAfter.h
@@ -16,7 +16,9 @@
   /// All targets are at capacity.
   Full,
   /// All attempts failed before the request ran.
-  AttemptsFailed
+  AttemptsFailed,
+  /// Requests like this one crash their targets.
+  CrashesTargets
 };
 
 /// Input of `retryAfter`.
