Take an unframed stream without any event as broken off

Callers saw: a stream that ends with its connection was complete although its target had sent no event of it, for example because it crashed right after the head and its connection was closed in order. Cause: the end of such a stream was checked against event boundaries only, and before the first event is one. Change: an event stream that ends with its connection and has brought no event counts as lost, so it is sent again where that is allowed, and is reported as the crash that it may be. Test: failed before on the empty stream (2 of 18 checks), passes now; it also covers an end inside the first and inside a later event, which held before.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -398,6 +398,9 @@
   // A stream that ends within an event was cut off by its server.
   if (isRelaying() && (!m_responseInfo.m_events || !m_events.atBoundary()))
     return AttemptOutcome::Lost;
+  // The end of the connection is the only sign of completeness here.
+  if (isRelaying() && m_head.m_endsWithConnection && m_events.events() == 0)
+    return AttemptOutcome::Lost;
   return AttemptOutcome::Answered;
 }
 
