Ask for crashes over some time also of one exact request, and bound what is kept

Equal requests of several callers (lookups of one thing) that run at all targets of a service when they fail together had six points at once, and no request could get through before the verdict: they would have been refused for 10 minutes. The 0.7 s hold for exact requests as well, and an attempt counts as begun only if a head has arrived, also on plain routes. An entry node's own suspects expire after 2 s, as the leader may never list them; the new fields of its requests are left out while they are empty. Tests: equal requests at 20 targets that crash together convict nothing (failed before). SuspectTest passes.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -186,9 +186,7 @@
   CrashReport Report;
   Report.m_target = m_target.m_id;
   Report.m_generation = m_target.m_generation;
-  // A plain response is complete or missing, so nothing shows whether it had
-  // begun.
-  Report.m_began = m_headReceived || m_route->m_kind != RouteKind::Stream;
+  Report.m_began = m_headReceived;
   Report.m_keys = keys();
   LogLine(LogLevel::Info, "crash_reported")
       .field("request", m_caller.m_id)
@@ -196,7 +194,7 @@
       .field("generation", m_target.m_generation)
       .field("began", Report.m_began)
       .field("keys", absl::StrJoin(Report.m_keys, ","));
-  m_services.m_suspects.attemptCrashed(std::move(Report));
+  m_services.m_suspects.attemptCrashed(monotonicNow(), std::move(Report));
   m_services.m_feed.requestNow(monotonicNow());
 }
 
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -178,7 +178,7 @@
           std::exchange(m_services->m_modelRequests, 0);
       Outgoing.m_request.m_suspects = std::exchange(m_suspects, {});
       Outgoing.m_request.m_progressing = m_services->m_stalls.takeProgress();
-      m_services->m_suspects.takeReports(Outgoing.m_request);
+      m_services->m_suspects.takeReports(Now, Outgoing.m_request);
     }
     Outgoing.m_request.m_suspectsVersion = m_services->m_suspects.version();
     Outgoing.m_request.m_stopping = m_stopping;
--- a/packages/feed/turmericdyke/src/Feed/CrashAttribution.cpp
+++ b/packages/feed/turmericdyke/src/Feed/CrashAttribution.cpp
@@ -111,9 +111,9 @@
   int Points = pointsOf(Value);
   if (WasRefused)
     return Points >= m_options.m_guiltyPointsAgain;
-  if (Value.m_exact)
-    return Points >= m_options.m_guiltyPointsOfRequest;
-  return Points >= m_options.m_guiltyPointsOfPart &&
+  int Needed = Value.m_exact ? m_options.m_guiltyPointsOfRequest
+                             : m_options.m_guiltyPointsOfPart;
+  return Points >= Needed &&
          Value.m_crashes.back()->m_at - Value.m_crashes.front()->m_at >=
              m_options.m_minSpan;
 }
--- a/packages/feed/turmericdyke/src/Feed/CrashAttribution.h
+++ b/packages/feed/turmericdyke/src/Feed/CrashAttribution.h
@@ -22,8 +22,9 @@
   /// A part of a prompt with so many points is guilty, if at least two requests
   /// contribute, each at most half.
   int m_guiltyPointsOfPart = 8;
-  /// The crashes of a guilty part are spread over at least this time: the hosts
-  /// of a domain fail together, with the requests that they run.
+  /// The crashes of a guilty key are spread over at least this time: the hosts
+  /// of a domain fail together, with the requests that they run, and callers
+  /// send equal requests.
   absl::Duration m_minSpan = absl::Milliseconds(700);
   /// Points for a key that was refused before.
   int m_guiltyPointsAgain = 2;
--- a/packages/feed/turmericdyke/src/Feed/SuspectWatch.cpp
+++ b/packages/feed/turmericdyke/src/Feed/SuspectWatch.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t MaxReports = 64;
 /// A popular key that stays suspect is reported as sound again after this time.
 constexpr absl::Duration ReportSoundAgain = absl::Milliseconds(250);
+/// By then the leader's lists show whether a key is suspect, or the report was
+/// lost.
+constexpr absl::Duration LeaderKnowsAfter = absl::Seconds(2);
 
 } // namespace
 } // namespace internal
@@ -27,7 +30,8 @@
                   [this](SuspectKey Key) { return !m_refused.contains(Key); });
   m_refused = std::move(Refused);
   std::erase_if(m_reportedSound, [this](const auto &Entry) {
-    return !m_suspects.contains(Entry.first);
+    return !m_suspects.contains(Entry.first) &&
+           !m_ownSuspects.contains(Entry.first);
   });
   return Added;
 }
@@ -38,17 +42,19 @@
   });
 }
 
-void SuspectWatch::attemptCrashed(CrashReport Report) {
+void SuspectWatch::attemptCrashed(Instant Now, CrashReport Report) {
+  if (m_reports.size() >= internal::MaxReports)
+    return;
   // The retry of this request may show at once which keys are sound.
-  m_suspects.insert(Report.m_keys.begin(), Report.m_keys.end());
-  if (m_reports.size() < internal::MaxReports)
-    m_reports.push_back(std::move(Report));
+  for (SuspectKey Key : Report.m_keys)
+    m_ownSuspects[Key] = Now;
+  m_reports.push_back(std::move(Report));
 }
 
 void SuspectWatch::requestProgressed(Instant Now,
                                      absl::Span<const SuspectKey> Keys) {
   for (SuspectKey Key : Keys) {
-    if (!m_suspects.contains(Key))
+    if (!m_suspects.contains(Key) && !m_ownSuspects.contains(Key))
       continue;
     auto [Last, New] = m_reportedSound.try_emplace(Key, Now);
     if (!New && Now - Last->second < internal::ReportSoundAgain)
@@ -58,7 +64,10 @@
   }
 }
 
-void SuspectWatch::takeReports(FeedRequest &Request) {
+void SuspectWatch::takeReports(Instant Now, FeedRequest &Request) {
+  std::erase_if(m_ownSuspects, [Now](const auto &Entry) {
+    return Now - Entry.second >= internal::LeaderKnowsAfter;
+  });
   Request.m_crashes = std::exchange(m_reports, {});
   Request.m_sound.assign(m_sound.begin(), m_sound.end());
   m_sound.clear();
--- a/packages/feed/turmericdyke/src/Feed/SuspectWatch.h
+++ b/packages/feed/turmericdyke/src/Feed/SuspectWatch.h
@@ -23,21 +23,25 @@
 
   /// Whether any key is suspect or refused. If not, the keys of a request need
   /// not be worked out.
-  bool active() const { return !m_suspects.empty() || !m_refused.empty(); }
+  bool active() const {
+    return !m_suspects.empty() || !m_refused.empty() || !m_ownSuspects.empty();
+  }
   bool isRefused(absl::Span<const SuspectKey> Keys) const;
 
   /// An attempt broke off as if its target had crashed.
-  void attemptCrashed(CrashReport Report);
+  void attemptCrashed(Instant Now, CrashReport Report);
   /// A request has got past the start of its response.
   void requestProgressed(Instant Now, absl::Span<const SuspectKey> Keys);
 
   bool hasReports() const { return !m_reports.empty() || !m_sound.empty(); }
   /// Moves the reports into a request to the leader.
-  void takeReports(FeedRequest &Request);
+  void takeReports(Instant Now, FeedRequest &Request);
 
 private:
   std::uint64_t m_version = 0;
   std::set<SuspectKey> m_suspects;
+  /// Keys of this node's crashes, which the leader may not know yet.
+  std::map<SuspectKey, Instant> m_ownSuspects;
   std::set<SuspectKey> m_refused;
   std::vector<CrashReport> m_reports;
   std::set<SuspectKey> m_sound;
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -177,23 +177,29 @@
 }
 
 nlohmann::json toJson(const FeedRequest &Message) {
-  return {{"node", Message.m_node.str()},
-          {"failure_domain", Message.m_failureDomain.str()},
-          {"follows", Message.m_follows},
-          {"relay", Message.m_relay},
-          {"entries", Message.m_entries},
-          {"sent_us", Message.m_sentAtMicros},
-          {"term", Message.m_term},
-          {"sequence", Message.m_sequence},
-          {"routing", Message.m_routingVersion},
-          {"uses", internal::listJson(Message.m_uses)},
-          {"model_requests", Message.m_modelRequests},
-          {"suspects", internal::listJson(Message.m_suspects)},
-          {"progressing", internal::listJson(Message.m_progressing)},
-          {"suspect_keys_version", Message.m_suspectsVersion},
-          {"crashes", internal::listJson(Message.m_crashes)},
-          {"sound_keys", internal::listJson(Message.m_sound)},
-          {"stopping", Message.m_stopping}};
+  nlohmann::json Object = {
+      {"node", Message.m_node.str()},
+      {"failure_domain", Message.m_failureDomain.str()},
+      {"follows", Message.m_follows},
+      {"relay", Message.m_relay},
+      {"entries", Message.m_entries},
+      {"sent_us", Message.m_sentAtMicros},
+      {"term", Message.m_term},
+      {"sequence", Message.m_sequence},
+      {"routing", Message.m_routingVersion},
+      {"uses", internal::listJson(Message.m_uses)},
+      {"model_requests", Message.m_modelRequests},
+      {"suspects", internal::listJson(Message.m_suspects)},
+      {"progressing", internal::listJson(Message.m_progressing)},
+      {"stopping", Message.m_stopping}};
+  // Rarely set, and sent four times a second by each entry node.
+  if (Message.m_suspectsVersion != 0)
+    Object["suspect_keys_version"] = Message.m_suspectsVersion;
+  if (!Message.m_crashes.empty())
+    Object["crashes"] = internal::listJson(Message.m_crashes);
+  if (!Message.m_sound.empty())
+    Object["sound_keys"] = internal::listJson(Message.m_sound);
+  return Object;
 }
 
 nlohmann::json toJson(const FeedUpdate &Message) {
