Mend what the linter found in the tests of voters and suspects

One of them was a real fault of the simulation: a message's receiver was moved inside a loop. Each receiver is found once, so no run was affected; coordinator_test passes as before.

--- a/packages/coordinator/test/SimCoordinators.cpp
+++ b/packages/coordinator/test/SimCoordinators.cpp
@@ -44,7 +44,7 @@
   }
 }
 
-std::size_t SimCoordinators::add(std::vector<std::size_t> Seeds) {
+std::size_t SimCoordinators::add(const std::vector<std::size_t> &Seeds) {
   Member &Added = m_members.emplace_back();
   std::size_t At = m_members.size() - 1;
   Added.m_node = nameOf(At);
@@ -178,13 +178,13 @@
 }
 
 void SimCoordinators::send(const Member &From, const NodeId &To,
-                           std::function<void(Member &)> Receive) {
+                           const std::function<void(Member &)> &Receive) {
   absl::Duration Delay = absl::Milliseconds(absl::Uniform(m_random, 1.0, 10.0));
   for (std::size_t At = 0; At < m_members.size(); ++At)
     if (m_members[At].m_node == To)
       m_events.emplace(m_now + Delay,
                        [this, At, Starts = m_members[At].m_starts,
-                        Sender = From.m_node, Run = std::move(Receive)] {
+                        Sender = From.m_node, Run = Receive] {
                          Member &Receiver = m_members[At];
                          if (!Receiver.m_up || Receiver.m_starts != Starts)
                            return;
--- a/packages/coordinator/test/SimCoordinators.h
+++ b/packages/coordinator/test/SimCoordinators.h
@@ -23,7 +23,7 @@
 
   void run(absl::Duration Length);
   /// Starts a coordinator that was never there before, and returns its index.
-  std::size_t add(std::vector<std::size_t> Seeds);
+  std::size_t add(const std::vector<std::size_t> &Seeds);
   void kill(std::size_t At);
   /// Stops a coordinator gracefully.
   void stop(std::size_t At);
@@ -65,7 +65,7 @@
   void perform(Member &Value);
   void persist(Member &Value, const RaftActions &Actions);
   void send(const Member &From, const NodeId &To,
-            std::function<void(Member &)> Receive);
+            const std::function<void(Member &)> &Receive);
   void sendCore(const Member &From, const AddressedMessage &Message);
   void sendRoster(Member &From);
 
--- a/packages/coordinator/test/VoterReplacementTest.cpp
+++ b/packages/coordinator/test/VoterReplacementTest.cpp
@@ -63,7 +63,7 @@
   Seeds.resize(3);
   Sim.kill(Lost);
   Sim.run(uniform(Sim, absl::ZeroDuration(), absl::Seconds(2)));
-  Sim.add(std::move(Seeds));
+  Sim.add(Seeds);
   Sim.run(Wait);
 }
 
--- a/packages/feed/test/SuspectTest.cpp
+++ b/packages/feed/test/SuspectTest.cpp
@@ -27,6 +27,7 @@
 std::vector<SuspectKey>
 guilty(const std::vector<CrashAttribution::Verdict> &Verdicts) {
   std::vector<SuspectKey> Keys;
+  Keys.reserve(Verdicts.size());
   for (const CrashAttribution::Verdict &Value : Verdicts)
     Keys.push_back(Value.m_key);
   return Keys;
