--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -387,6 +387,41 @@
   }));
 }
 
+// Guards against targets that go on crashing where entry nodes follow a relay.
+TEST_CASE(
+    "a relay passes on crash reports, and suspect lists once to each node") {
+  FeedRelay Relay(NodeId("relay"));
+  FeedPublisher Mirror;
+  FeedRequest Reporting;
+  Reporting.m_node = NodeId("entry");
+  Reporting.m_crashes = {{TargetId("t"), 7, true, {1, 2}}};
+  Reporting.m_sound = {3};
+  Relay.collect(Start, Reporting);
+  FeedRequest Relayed =
+      parseFeedRequest(toJson(Relay.request(Start, Mirror))).value();
+  REQUIRE(Relayed.m_crashes.size() == 1);
+  CHECK(Relayed.m_crashes[0].m_generation == 7);
+  CHECK(Relayed.m_crashes[0].m_began);
+  CHECK(Relayed.m_crashes[0].m_keys == std::vector<SuspectKey>{1, 2});
+  CHECK(Relayed.m_sound == std::vector<SuspectKey>{3});
+  CHECK(Relay.request(Start, Mirror).m_crashes.empty());
+
+  SuspectLists Lists{9, {1}, {2}};
+  FeedContext Leading = context(3);
+  Leading.m_suspects = &Lists;
+  FeedPublisher Leader;
+  sync(Relay, Mirror, Leader, Start, Start, Leading);
+  FeedContext Relaying = relayContext(Relay, Start);
+  FeedUpdate Update =
+      parseFeedUpdate(toJson(Mirror.respond(Start, Reporting, Relaying)))
+          .value();
+  REQUIRE(Update.m_suspects);
+  CHECK(Update.m_suspects->m_refused == std::vector<SuspectKey>{2});
+  CHECK(Mirror.pendingUpdates(Start, Relaying).empty());
+  Reporting.m_suspectsVersion = Update.m_suspects->m_version;
+  CHECK_FALSE(Mirror.respond(Start, Reporting, Relaying).m_suspects);
+}
+
 // Guards against a revoked key that is accepted through a relay which was cut
 // off from the leader: the lease is as short as the relay's knowledge is old.
 TEST_CASE("a lease through a relay starts with the relay's own confirmation") {
