--- a/packages/coordinator/test/VoterReplacementTest.cpp
+++ b/packages/coordinator/test/VoterReplacementTest.cpp
@@ -39,17 +39,21 @@
   return Running;
 }
 
+enum class Others { Stay, LosePower };
+
 /// `Count` running coordinators lose their disks at once and return with empty
 /// ones. Returns whether the acknowledged change is readable in time.
-bool survivesLostDisks(SimCoordinators &Sim, std::size_t Count) {
-  std::vector<std::size_t> Lost = shuffledRunning(Sim);
-  Lost.resize(Count);
-  for (std::size_t At : Lost) {
+bool survivesLostDisks(SimCoordinators &Sim, std::size_t Count,
+                       Others Rest = Others::Stay) {
+  std::vector<std::size_t> Down = shuffledRunning(Sim);
+  for (std::size_t At = 0; At < Count; ++At)
+    Sim.loseDisk(Down[At]);
+  if (Rest == Others::Stay)
+    Down.resize(Count);
+  for (std::size_t At : Down)
     Sim.kill(At);
-    Sim.loseDisk(At);
-  }
   Sim.run(Downtime);
-  for (std::size_t At : Lost)
+  for (std::size_t At : Down)
     Sim.restart(At);
   Sim.run(RecoveryBound);
   return Sim.holdsAcknowledged();
@@ -139,6 +143,18 @@
   CHECK(survivesLostDisks(Sim, ToleratedLosses));
 }
 
+TEST_CASE("an acknowledged change is kept if two disks are lost after a "
+          "replacement while all others lose power") {
+  for (unsigned Seed = 1; Seed <= 60; ++Seed) {
+    CAPTURE(Seed);
+    SimCoordinators Sim(Voters, fiveVoters(), Seed);
+    Sim.run(absl::Seconds(5));
+    replaceOne(Sim, CatchUp);
+    REQUIRE(Sim.write(absl::Seconds(4)));
+    CHECK(survivesLostDisks(Sim, ToleratedLosses, Others::LosePower));
+  }
+}
+
 TEST_CASE("a second disk may be lost at any moment of a replacement") {
   for (unsigned Seed = 1; Seed <= 120; ++Seed) {
     CAPTURE(Seed);
