Log how long the log's turns take and how much they apply

Cause: after a restart the coordinators stood still for 1.5 s each, and no line told how long an apply took, how many entries it had, what the disk took, nor that the loop stood still. Change: log_turn_slow, loop_turn_long, and applied and last index beside the commit of leadership events. Ruled out: the disk (persist_ms 0) and entries in transit (all logs were complete).

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -10,6 +10,7 @@
 #include "turmericdyke/src/Base/LogSink.h"
 #include "turmericdyke/src/Coordinator/ClusterMembers.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
+#include "turmericdyke/src/Loop/TurnLog.h"
 #include "turmericdyke/src/Node/CoreCodec.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
 
@@ -126,7 +127,7 @@
     return failure(CoordinatorError{Transport.error().m_message});
   m_transport = std::move(Transport).value();
   LogSink::standard().setBuffering(true);
-  m_loop.setAfterTurn([] { LogSink::standard().flush(); });
+  m_loop.setAfterTurn(&logTurn);
   LogLine(LogLevel::Info, "coordinator_started")
       .field("node", m_settings.m_name)
       .field("control", m_settings.m_controlAddress)
@@ -303,7 +304,9 @@
   Line.field("node", m_settings.m_name)
       .field("subject", Value.m_voter.m_node)
       .field("term", m_core->raft().term())
-      .field("commit", m_core->raft().commitIndex());
+      .field("commit", m_core->raft().commitIndex())
+      .field("applied", m_core->state().appliedIndex())
+      .field("last", m_core->raft().lastIndex());
   if (Value.m_kind != RaftEventKind::VotersCommitted)
     return;
   std::size_t Size = Value.m_voters.m_voters.size();
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -10,6 +10,7 @@
 #include "turmericdyke/src/Entry/EntryExchange.h"
 #include "turmericdyke/src/Entry/EntryProtocol.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
+#include "turmericdyke/src/Loop/TurnLog.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
 
 namespace turmericdyke {
@@ -101,7 +102,7 @@
     return failure(EntryError{Transport.error().m_message});
   m_transport = std::move(Transport).value();
   LogSink::standard().setBuffering(true);
-  m_loop.setAfterTurn([] { LogSink::standard().flush(); });
+  m_loop.setAfterTurn(&logTurn);
   LogLine(LogLevel::Info, "entry_started")
       .field("node", m_settings.m_name)
       .field("callers", m_settings.m_callerAddress)
--- a/packages/loop/turmericdyke/src/Loop/EventLoop.cpp
+++ b/packages/loop/turmericdyke/src/Loop/EventLoop.cpp
@@ -134,6 +134,7 @@
     int Count = epoll_wait(m_poll.get(), Events, internal::MaxEventsPerWait,
                            waitMillis());
     ++m_turns;
+    Instant Started = monotonicNow();
     for (int At = 0; At < Count; ++At) {
       int File = static_cast<int>(Events[At].data.u64 & 0xffffffff);
       auto Found = m_watches.find(File);
@@ -147,7 +148,7 @@
     runPosted();
     runTimers();
     if (m_afterTurn)
-      m_afterTurn();
+      m_afterTurn(monotonicNow() - Started);
   }
 }
 
--- a/packages/loop/turmericdyke/src/Loop/EventLoop.h
+++ b/packages/loop/turmericdyke/src/Loop/EventLoop.h
@@ -25,6 +25,7 @@
   using Work = std::function<void()>;
   /// Receives the ready events as in epoll(7).
   using Ready = std::function<void(std::uint32_t)>;
+  using AfterTurn = std::function<void(absl::Duration)>;
 
   /// Handle of a pending timer.
   struct Timer {
@@ -51,8 +52,8 @@
   /// Runs `Callback` on the loop's thread, from any thread.
   void post(Work Callback);
   /// Sets a callback that runs after each iteration of the loop, for example to
-  /// flush logs.
-  void setAfterTurn(Work Callback) { m_afterTurn = std::move(Callback); }
+  /// flush logs. It receives how long the iteration kept the thread busy.
+  void setAfterTurn(AfterTurn Callback) { m_afterTurn = std::move(Callback); }
 
   /// Runs the loop until `stop`.
   void run();
@@ -79,7 +80,7 @@
   std::map<std::pair<Instant, std::uint64_t>, Work> m_timers;
   std::uint64_t m_timerIds = 0;
   std::uint64_t m_turns = 0;
-  Work m_afterTurn;
+  AfterTurn m_afterTurn;
   std::atomic<bool> m_stopping{false};
 
   absl::Mutex m_lock;
--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -281,6 +281,8 @@
 }
 
 void ControlCore::apply(Instant Now, const LogEntry &Entry) {
+  ++m_output.m_applied.m_entries;
+  m_output.m_applied.m_bytes += Entry.m_command.size();
   if (Entry.m_kind == EntryKind::Command) {
     std::optional<std::vector<Envelope>> Envelopes =
         decodeEnvelopes(Entry.m_command);
--- a/packages/node/turmericdyke/src/Node/ControlCore.h
+++ b/packages/node/turmericdyke/src/Node/ControlCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -28,6 +29,13 @@
   absl::Duration m_submitTimeout = absl::Seconds(5);
 };
 
+/// Committed entries that were applied to the replicated state.
+struct AppliedEntries {
+  std::size_t m_entries = 0;
+  /// Sum of their encoded commands.
+  std::size_t m_bytes = 0;
+};
+
 /// What the caller must carry out after the storage actions are synced.
 struct ControlOutput {
   std::vector<AddressedMessage> m_messages;
@@ -37,6 +45,7 @@
   std::optional<Snapshot> m_snapshot;
   /// The replicated state has changed.
   bool m_stateChanged = false;
+  AppliedEntries m_applied;
 };
 
 /// The control plane of a node as a state machine without I/O: the replicated
--- a/packages/node/turmericdyke/src/Node/CoreDriver.cpp
+++ b/packages/node/turmericdyke/src/Node/CoreDriver.cpp
@@ -7,11 +7,23 @@
 
 namespace turmericdyke {
 
+namespace internal {
+namespace {
+
+/// As long as a heartbeat interval of the log.
+constexpr absl::Duration SlowTurn = absl::Milliseconds(100);
+
+} // namespace
+} // namespace internal
+
 CoreDriver::CoreDriver(ControlCore &Core, DataDirectory *Directory,
                        Deliver OnOutput)
     : m_core(Core), m_directory(Directory), m_deliver(std::move(OnOutput)) {}
 
 void CoreDriver::processActions() {
+  Instant Started = monotonicNow();
+  AppliedEntries Applied;
+  m_persisting = absl::ZeroDuration();
   // A written snapshot can produce new actions, as the leader may then have to
   // send it to a follower. They must be carried out before the next message is
   // handled.
@@ -19,16 +31,36 @@
     while (m_core.hasActions())
       persistActions();
     ControlOutput Output = m_core.takeOutput();
+    Applied.m_entries += Output.m_applied.m_entries;
+    Applied.m_bytes += Output.m_applied.m_bytes;
     std::optional<Snapshot> Snapshot = std::exchange(Output.m_snapshot, {});
     m_deliver(std::move(Output));
     if (Snapshot)
       writeSnapshot(*Snapshot);
   } while (m_core.hasActions());
+  logIfSlow(monotonicNow() - Started, Applied);
+}
+
+void CoreDriver::logIfSlow(absl::Duration Took,
+                           const AppliedEntries &Applied) const {
+  if (Took < internal::SlowTurn)
+    return;
+  LogLine(LogLevel::Warning, "log_turn_slow")
+      .field("ms", absl::ToInt64Milliseconds(Took))
+      .field("persist_ms", absl::ToInt64Milliseconds(m_persisting))
+      .field("applied_entries", Applied.m_entries)
+      .field("applied_bytes", Applied.m_bytes)
+      .field("term", m_core.raft().term())
+      .field("leads", m_core.raft().isLeader())
+      .field("commit", m_core.raft().commitIndex())
+      .field("applied", m_core.state().appliedIndex());
 }
 
 void CoreDriver::persistActions() {
   if (m_directory != nullptr && m_core.storageActions().needsSync()) {
+    Instant Started = monotonicNow();
     auto Written = m_directory->persist(m_core.storageActions());
+    m_persisting += monotonicNow() - Started;
     if (!Written)
       return fail("storage_failed", Written.error().m_message);
   }
--- a/packages/node/turmericdyke/src/Node/CoreDriver.h
+++ b/packages/node/turmericdyke/src/Node/CoreDriver.h
@@ -3,6 +3,8 @@
 #include <functional>
 #include <string_view>
 
+#include "absl/time/time.h"
+
 #include "turmericdyke/src/Node/ControlCore.h"
 
 namespace turmericdyke {
@@ -29,10 +31,15 @@
   void persistActions();
   void writeSnapshot(const Snapshot &Value);
   void fail(std::string_view Event, std::string_view Reason);
+  /// Logs a turn that kept the caller from sending heartbeats, and what it was
+  /// spent on.
+  void logIfSlow(absl::Duration Took, const AppliedEntries &Applied) const;
 
   ControlCore &m_core;
   DataDirectory *m_directory;
   Deliver m_deliver;
+  /// Time spent in the data directory in this turn.
+  absl::Duration m_persisting = absl::ZeroDuration();
   bool m_storageFailed = false;
 };
 
