Apply committed entries a part at a time, so that a leader with a long log stays leader

Callers saw: nearly all requests refused for 8 s after all coordinators had restarted; a change acknowledged after 9.6 s. Cause: the first commit of a new term releases the whole log. ControlCore applied it in one turn of the loop (22 MB, 1.6 s on 0.3 of a core), sent no heartbeat for longer than an election timeout and was replaced; so was each successor. Class: work in proportion to history in one turn of the process that must send heartbeats. Change: ControlCore applies at most 256 KiB or 256 entries a turn and is ticked again after 1 ms. A leader leads once it has applied what earlier leaders accepted; while entries wait it confirms no document as the newest and answers no read. ControlLoop of the product's own nodes does the same. The test's network gained a cost of applying. Ruled out: a larger election timeout (the log has no bound); decoding only the newest document (other commands count).

--- a/packages/consensus/turmericdyke/src/Consensus/Raft.h
+++ b/packages/consensus/turmericdyke/src/Consensus/Raft.h
@@ -97,6 +97,9 @@
   const NodeId &leader() const { return m_leader; }
   Term term() const { return m_hardState.m_term; }
   LogIndex commitIndex() const { return m_commit; }
+  /// Index of the first entry of the term that this node leads. All entries
+  /// before it were accepted by earlier leaders.
+  LogIndex termStart() const { return m_termStart; }
   LogIndex lastIndex() const { return m_log.lastIndex(); }
   LogIndex snapshotIndex() const { return m_log.snapshot().m_index; }
   std::optional<Term> termAt(LogIndex Index) const {
--- a/packages/coordinator/test/SimCoordinators.cpp
+++ b/packages/coordinator/test/SimCoordinators.cpp
@@ -89,6 +89,7 @@
   Value.m_roster.emplace(Value.m_node, m_options);
   Value.m_roster->addSeeds(m_now, Value.m_seeds);
   Value.m_nextMembers = m_now;
+  Value.m_busyUntil = m_now;
   if (Value.m_disk.m_entries.empty() && Value.m_disk.m_snapshot.m_index == 0)
     Value.m_bootstrap.emplace(Value.m_node, Value.m_disk.m_identity,
                               Value.m_seeds, false);
@@ -106,6 +107,10 @@
   perform(Value);
 }
 
+void SimCoordinators::setApplyCost(absl::Duration PerMegabyte) {
+  m_applyCost = PerMegabyte;
+}
+
 void SimCoordinators::run(absl::Duration Length) {
   for (Instant End = m_now + Length; m_now < End;)
     step();
@@ -120,7 +125,7 @@
   }
   m_now = End;
   for (Member &Value : m_members)
-    if (Value.m_up)
+    if (Value.m_up && m_now >= Value.m_busyUntil)
       tick(Value);
 }
 
@@ -151,6 +156,12 @@
       Value.m_core->onActionsPersisted(m_now);
     }
     ControlOutput Output = Value.m_core->takeOutput();
+    Value.m_busyUntil =
+        std::max(Value.m_busyUntil, m_now) +
+        m_applyCost * (static_cast<double>(Output.m_applied.m_bytes) /
+                       static_cast<double>(1 << 20));
+    for (const RaftEvent &Event : Output.m_events)
+      m_elections += Event.m_kind == RaftEventKind::LeadershipGained ? 1 : 0;
     for (const AddressedMessage &Message : Output.m_messages)
       sendCore(Value, Message);
     for (const Completion &Done : Output.m_completions)
@@ -182,15 +193,21 @@
   absl::Duration Delay = absl::Milliseconds(absl::Uniform(m_random, 1.0, 10.0));
   for (std::size_t At = 0; At < m_members.size(); ++At)
     if (m_members[At].m_node == To)
-      m_events.emplace(m_now + Delay,
-                       [this, At, Starts = m_members[At].m_starts,
-                        Sender = From.m_node, Run = Receive] {
-                         Member &Receiver = m_members[At];
-                         if (!Receiver.m_up || Receiver.m_starts != Starts)
-                           return;
-                         Receiver.m_roster->heardFrom(m_now, Sender);
-                         Run(Receiver);
-                       });
+      deliver(std::max(m_now, From.m_busyUntil) + Delay,
+              {At, m_members[At].m_starts, From.m_node, Receive});
+}
+
+void SimCoordinators::deliver(Instant When, Delivery Message) {
+  m_events.emplace(When, [this, Held = std::move(Message)] {
+    Member &Receiver = m_members[Held.m_to];
+    if (!Receiver.m_up || Receiver.m_starts != Held.m_starts)
+      return;
+    // Messages wait while the receiver is busy, in the order of their arrival.
+    if (m_now < Receiver.m_busyUntil)
+      return deliver(Receiver.m_busyUntil, Held);
+    Receiver.m_roster->heardFrom(m_now, Held.m_from);
+    Held.m_receive(Receiver);
+  });
 }
 
 void SimCoordinators::sendCore(const Member &From,
@@ -229,7 +246,8 @@
     std::optional<std::size_t> Leader = leader();
     if (!Leader || m_now - Submitted < absl::Seconds(1))
       continue;
-    m_members[*Leader].m_core->submit(m_now, SetRouting{Version, "document"});
+    m_members[*Leader].m_core->submit(
+        m_now, SetRouting{Version, std::string(m_documentBytes, 'd')});
     Submitted = m_now;
   }
   return false;
--- a/packages/coordinator/test/SimCoordinators.h
+++ b/packages/coordinator/test/SimCoordinators.h
@@ -21,6 +21,12 @@
   SimCoordinators(std::size_t Count, CoordinatorRosterOptions Options,
                   unsigned Seed);
 
+  /// From now on, applying the log keeps a coordinator from its timers and
+  /// messages for `PerMegabyte` a MiB of commands.
+  void setApplyCost(absl::Duration PerMegabyte);
+  /// Size of the documents that `write` submits.
+  void setDocumentBytes(std::size_t Bytes) { m_documentBytes = Bytes; }
+
   void run(absl::Duration Length);
   /// Starts a coordinator that was never there before, and returns its index.
   std::size_t add(const std::vector<std::size_t> &Seeds);
@@ -35,6 +41,8 @@
 
   Instant now() const { return m_now; }
   std::optional<std::size_t> leader() const;
+  /// How often a coordinator became leader so far.
+  std::size_t elections() const { return m_elections; }
   /// The latest voter set of the leader, as indexes.
   std::vector<std::size_t> voters() const;
   bool isUp(std::size_t At) const { return m_members[At].m_up; }
@@ -55,6 +63,15 @@
     std::optional<ControlCore> m_core;
     std::optional<CoordinatorRoster> m_roster;
     Instant m_nextMembers = absl::InfinitePast();
+    /// Until when the current turn keeps it busy.
+    Instant m_busyUntil = absl::InfinitePast();
+  };
+  /// A message on its way. It is lost if its receiver has started again since.
+  struct Delivery {
+    std::size_t m_to = 0;
+    std::uint64_t m_starts = 0;
+    NodeId m_from;
+    std::function<void(Member &)> m_receive;
   };
   static NodeId nameOf(std::size_t At);
   std::string identityOf(const Member &Value) const;
@@ -66,6 +83,7 @@
   void persist(Member &Value, const RaftActions &Actions);
   void send(const Member &From, const NodeId &To,
             const std::function<void(Member &)> &Receive);
+  void deliver(Instant When, Delivery Message);
   void sendCore(const Member &From, const AddressedMessage &Message);
   void sendRoster(Member &From);
 
@@ -74,6 +92,9 @@
   Instant m_now;
   std::vector<Member> m_members;
   std::multimap<Instant, std::function<void()>> m_events;
+  absl::Duration m_applyCost = absl::ZeroDuration();
+  std::size_t m_documentBytes = 8;
+  std::size_t m_elections = 0;
   std::uint64_t m_version = 0;
   std::uint64_t m_acknowledged = 0;
 };
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -89,6 +89,9 @@
                              const GetRoutingCall &) {
   if (!leads())
     return redirect(*Exchange);
+  if (!m_core->stateIsCurrent())
+    return Exchange->respond(
+        m_protocol.errorResponse(503, "the newest change is not applied yet"));
   if (m_catalog.m_version == 0)
     return Exchange->respond(
         m_protocol.errorResponse(503, "no routing document is in force yet"));
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -300,6 +300,7 @@
   Context.m_leads = leads() && m_ledTerm == Context.m_term;
   Context.m_complete = m_settled && m_planner.leading();
   Context.m_routingVersion = m_catalog.m_version;
+  Context.m_routingConfirmed = m_core->stateIsCurrent();
   Context.m_routingDocument = &m_document;
   Context.m_suspects = &m_suspects;
   if (m_ledTerm == 0 && !m_stopping && m_feedRelay.isFresh(Now))
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -21,6 +21,9 @@
 
 /// Interval at which `ControlCore` must be ticked.
 constexpr absl::Duration CoreTick = absl::Milliseconds(20);
+/// Pause between two parts of the log that are applied, in which messages are
+/// read and sent.
+constexpr absl::Duration ApplyPause = absl::Milliseconds(1);
 /// How long a stop waits for another node to take over leadership and vote, and
 /// for running calls.
 constexpr absl::Duration StopWait = absl::Seconds(2);
@@ -217,7 +220,10 @@
   runCore();
   updateLeadership();
   m_loop.cancel(m_coreTimer);
-  m_coreTimer = m_loop.after(internal::CoreTick, [this] { tickCore(); });
+  bool Waiting = m_core && m_core->waitingEntries() > 0;
+  m_coreTimer =
+      m_loop.after(Waiting ? internal::ApplyPause : internal::CoreTick,
+                   [this] { tickCore(); });
 }
 
 void CoordinatorNode::runCore() {
@@ -305,7 +311,7 @@
       .field("subject", Value.m_voter.m_node)
       .field("term", m_core->raft().term())
       .field("commit", m_core->raft().commitIndex())
-      .field("applied", m_core->state().appliedIndex())
+      .field("waiting", m_core->waitingEntries())
       .field("last", m_core->raft().lastIndex());
   if (Value.m_kind != RaftEventKind::VotersCommitted)
     return;
--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -46,6 +46,7 @@
       m_lease(m_options.m_node, m_options.m_incarnation,
               State.m_snapshot.m_index),
       m_pendingCommands(m_options.m_node, m_options.m_incarnation),
+      m_applied(State.m_snapshot.m_index),
       m_snapshotIndex(State.m_snapshot.m_index) {
   m_raft.setLearners(m_options.m_peers);
   collectActions();
@@ -136,9 +137,14 @@
   send(From, BootstrapMessage{"", true, m_raft.voters()});
 }
 
+bool ControlCore::leads(Instant Now) const {
+  return m_raft.holdsLeaderLease(Now) && m_applied >= m_raft.termStart();
+}
+
 void ControlCore::tick(Instant Now, absl::Time WallTime,
                        absl::BitGenRef Random) {
   m_raft.tick(Now, Random);
+  applyWaiting(Now);
   m_pendingCommands.expire(Now);
   sendLeaseRequest(Now);
   if (leads(Now)) {
@@ -271,15 +277,31 @@
     m_state = internal::restoreState(Actions.m_snapshot->m_data);
     m_state.setTestHooks(m_hooks);
     m_snapshotIndex = Actions.m_snapshot->m_index;
+    m_waiting.clear();
+    m_applied = m_snapshotIndex;
     m_lease.applied(m_snapshotIndex);
     m_output.m_stateChanged = true;
   }
-  for (const LogEntry &Entry : Actions.m_committed)
-    apply(Now, Entry);
-  maybeSnapshot();
+  for (LogEntry &Entry : Actions.m_committed)
+    m_waiting.push_back(std::move(Entry));
+  applyWaiting(Now);
   collectActions();
 }
 
+void ControlCore::applyWaiting(Instant Now) {
+  std::size_t Bytes = 0;
+  for (std::size_t Count = 0;
+       !m_waiting.empty() && Count < m_options.m_maxAppliedEntriesPerTurn;
+       ++Count) {
+    Bytes += m_waiting.front().m_command.size();
+    if (Count > 0 && Bytes > m_options.m_maxAppliedBytesPerTurn)
+      break;
+    apply(Now, m_waiting.front());
+    m_waiting.pop_front();
+  }
+  maybeSnapshot();
+}
+
 void ControlCore::apply(Instant Now, const LogEntry &Entry) {
   ++m_output.m_applied.m_entries;
   m_output.m_applied.m_bytes += Entry.m_command.size();
@@ -299,6 +321,7 @@
       m_output.m_stateChanged = true;
     }
   }
+  m_applied = Entry.m_index;
   m_lease.applied(Entry.m_index);
 }
 
--- a/packages/node/turmericdyke/src/Node/ControlCore.h
+++ b/packages/node/turmericdyke/src/Node/ControlCore.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,11 @@
   RaftOptions m_raft;
   /// Entries between snapshots of the replicated state.
   std::uint64_t m_snapshotInterval = 1000;
+  /// Committed entries applied in one turn, at least one. After a restart the
+  /// first commit releases the whole log, and a node that applies it in one
+  /// turn misses its heartbeats and is replaced as the leader.
+  std::size_t m_maxAppliedBytesPerTurn = std::size_t{256} * 1024;
+  std::size_t m_maxAppliedEntriesPerTurn = 256;
   absl::Duration m_submitTimeout = absl::Seconds(5);
 };
 
@@ -55,6 +61,10 @@
 /// After any number of events, while `hasActions` is true, the caller persists
 /// and syncs `storageActions` and calls `onActionsPersisted`, or
 /// `storageFailed` if storage reports an error.
+///
+/// Committed entries are applied a part at a time: one with each call of
+/// `onActionsPersisted` and `tick`. The caller ticks again soon, after reading
+/// its messages, while `waitingEntries` is not 0.
 class ControlCore {
 public:
   ControlCore(ControlCoreOptions Options, const PersistentState &State,
@@ -85,7 +95,14 @@
 
   const ControlState &state() const { return m_state; }
   const Raft &raft() const { return m_raft; }
-  bool leads(Instant Now) const { return m_raft.holdsLeaderLease(Now); }
+  /// Whether this node leads and has applied everything that earlier leaders
+  /// accepted.
+  bool leads(Instant Now) const;
+  /// Committed entries that are not applied yet.
+  std::size_t waitingEntries() const { return m_waiting.size(); }
+  /// Whether `state` contains every committed entry that this node knows of. A
+  /// leader must not present its state as the newest otherwise.
+  bool stateIsCurrent() const { return m_waiting.empty(); }
   Instant leaseUntil() const { return m_lease.validUntil(); }
 
   /// For tests only; the hooks stay set when a snapshot replaces the state.
@@ -111,6 +128,8 @@
   void proposePendingCommands(Instant Now);
   void updateVoters(Instant Now);
   void advanceLogTime(Instant Now, absl::Time WallTime);
+  /// Applies the next part of the committed entries.
+  void applyWaiting(Instant Now);
   void apply(Instant Now, const LogEntry &Entry);
   void closeAbandonedCall(Instant Now, const Envelope &Value,
                           const CommandResult &Outcome);
@@ -124,6 +143,9 @@
   ReadLease m_lease;
   PendingCommands m_pendingCommands;
   std::optional<RaftActions> m_pendingActions;
+  /// Committed entries in log order that are not applied yet.
+  std::deque<LogEntry> m_waiting;
+  LogIndex m_applied = 0;
   ControlOutput m_output;
   Instant m_nextLogTime = absl::InfinitePast();
   Instant m_nextVoterUpdate = absl::InfinitePast();
--- a/packages/node/turmericdyke/src/Node/ControlLoop.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlLoop.cpp
@@ -146,7 +146,10 @@
   auto Ready = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_lock) {
     return m_stopped || !m_events.empty();
   };
-  m_lock.AwaitWithTimeout(absl::Condition(&Ready), internal::TickInterval);
+  bool Waiting = m_core && m_core->waitingEntries() > 0;
+  m_lock.AwaitWithTimeout(absl::Condition(&Ready),
+                          Waiting ? absl::ZeroDuration()
+                                  : internal::TickInterval);
   return std::exchange(m_events, {});
 }
 
--- a/packages/node/turmericdyke/src/Node/CoreDriver.cpp
+++ b/packages/node/turmericdyke/src/Node/CoreDriver.cpp
@@ -53,7 +53,7 @@
       .field("term", m_core.raft().term())
       .field("leads", m_core.raft().isLeader())
       .field("commit", m_core.raft().commitIndex())
-      .field("applied", m_core.state().appliedIndex());
+      .field("waiting", m_core.waitingEntries());
 }
 
 void CoreDriver::persistActions() {
