--- a/packages/consensus/turmericdyke/src/Consensus/Raft.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/Raft.cpp
@@ -58,7 +58,8 @@
 void Raft::compact(Snapshot State) {
   if (State.m_index <= m_log.snapshot().m_index)
     return;
-  m_log.compact(std::move(State), m_options.m_retainedEntries);
+  m_log.compact(std::move(State), m_options.m_retainedEntries,
+                m_options.m_retainedBytes);
 }
 
 RaftActions Raft::takeActions() {
--- a/packages/consensus/turmericdyke/src/Consensus/RaftLog.cpp
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftLog.cpp
@@ -69,12 +69,18 @@
     m_voterSets.pop_back();
 }
 
-void RaftLog::compact(Snapshot State, std::size_t Retained) {
+void RaftLog::compact(Snapshot State, std::size_t MaxEntries,
+                      std::size_t MaxBytes) {
   assert(State.m_index <= lastIndex() &&
          "a snapshot covers only entries in the log");
   m_snapshot = std::move(State);
-  LogIndex Keep =
-      m_snapshot.m_index > Retained ? m_snapshot.m_index - Retained : 0;
+  LogIndex Keep = m_snapshot.m_index;
+  for (std::size_t Bytes = 0;
+       Keep > m_prefixIndex && m_snapshot.m_index - Keep < MaxEntries; --Keep) {
+    Bytes += at(Keep).m_command.size() + EntryOverheadBytes;
+    if (Bytes > MaxBytes)
+      break;
+  }
   while (m_prefixIndex < Keep) {
     m_prefixIndex = m_entries.front().m_index;
     m_prefixTerm = m_entries.front().m_term;
--- a/packages/consensus/turmericdyke/src/Consensus/RaftLog.h
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftLog.h
@@ -32,8 +32,9 @@
 
   void append(LogEntry Entry);
   void truncateFrom(LogIndex Index);
-  /// Discards the prefix but keeps `Retained` entries before the new snapshot.
-  void compact(Snapshot State, std::size_t Retained);
+  /// Discards the prefix but keeps at most `MaxEntries` entries with `MaxBytes`
+  /// of commands before the new snapshot.
+  void compact(Snapshot State, std::size_t MaxEntries, std::size_t MaxBytes);
   /// Replaces the whole log with a snapshot.
   void reset(Snapshot State);
 
--- a/packages/consensus/turmericdyke/src/Consensus/RaftOptions.h
+++ b/packages/consensus/turmericdyke/src/Consensus/RaftOptions.h
@@ -44,6 +44,8 @@
   /// Entries kept in memory before a snapshot, so that a follower that lags
   /// slightly does not need the snapshot.
   std::size_t m_retainedEntries = 1024;
+  /// The same in bytes of commands; both limits hold.
+  std::size_t m_retainedBytes = std::size_t{4} * 1024 * 1024;
   /// A learner gets a heartbeat once per this many rounds: learners do not
   /// count for the lease, and there may be many.
   std::uint64_t m_learnerHeartbeatRounds = 5;
--- a/packages/coordinator/test/LogReplayTest.cpp
+++ b/packages/coordinator/test/LogReplayTest.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <doctest/doctest.h>
 
 #include "SimCoordinators.h"
@@ -37,7 +39,9 @@
 TEST_CASE("coordinators that apply a long log after a restart keep their "
           "leader and take changes in time") {
   for (unsigned Seed = 1; Seed <= 3; ++Seed) {
-    SimCoordinators Sim(Coordinators, rosterOptions(), Seed);
+    ControlCoreOptions WithoutSnapshots;
+    WithoutSnapshots.m_snapshotBytes = std::numeric_limits<std::size_t>::max();
+    SimCoordinators Sim(Coordinators, rosterOptions(), Seed, WithoutSnapshots);
     restartAfterChanges(Sim);
     Sim.setApplyCost(absl::Milliseconds(160));
     std::size_t Before = Sim.elections();
@@ -48,4 +52,31 @@
   }
 }
 
+TEST_CASE("the log that a restart applies is bounded in bytes, whatever the "
+          "size of its entries") {
+  SimCoordinators Sim(Coordinators, rosterOptions(), 1);
+  restartAfterChanges(Sim);
+  ControlCoreOptions Limits;
+  for (std::size_t At = 0; At < Coordinators; ++At)
+    CHECK(Sim.logBytes(At) <= Limits.m_snapshotBytes + 2 * DocumentBytes);
+  CHECK(Sim.write(AckBound));
+  CHECK(Sim.holdsAcknowledged());
+}
+
+TEST_CASE("a coordinator with an empty disk gets a bounded log after many "
+          "large changes") {
+  SimCoordinators Sim(Coordinators, rosterOptions(), 2);
+  Sim.setDocumentBytes(DocumentBytes);
+  REQUIRE(Sim.write(absl::Seconds(10)));
+  Sim.kill(4);
+  for (int At = 0; At < Changes; ++At)
+    REQUIRE(Sim.write(absl::Seconds(10)));
+  Sim.loseDisk(4);
+  Sim.restart(4);
+  Sim.run(absl::Seconds(3));
+  CHECK(Sim.logBytes(4) <=
+        ControlCoreOptions().m_snapshotBytes + RaftOptions().m_retainedBytes);
+  CHECK(Sim.holdsAcknowledged());
+}
+
 } // namespace turmericdyke
--- a/packages/coordinator/test/SimCoordinators.cpp
+++ b/packages/coordinator/test/SimCoordinators.cpp
@@ -26,8 +26,8 @@
 
 SimCoordinators::SimCoordinators(std::size_t Count,
                                  CoordinatorRosterOptions Options,
-                                 unsigned Seed)
-    : m_options(Options), m_random(Seed),
+                                 unsigned Seed, ControlCoreOptions Core)
+    : m_options(Options), m_coreOptions(std::move(Core)), m_random(Seed),
       m_now(absl::UnixEpoch() + absl::Hours(1)), m_members(Count) {
   VoterSet Voters;
   std::vector<NodeId> SeedNodes;
@@ -99,7 +99,7 @@
 
 void SimCoordinators::startCore(Member &Value) {
   Value.m_bootstrap.reset();
-  ControlCoreOptions Options;
+  ControlCoreOptions Options = m_coreOptions;
   Options.m_node = Value.m_node;
   Options.m_incarnation = Value.m_starts;
   Options.m_peers = Value.m_roster->others();
@@ -168,9 +168,26 @@
       if (const auto *Set = std::get_if<SetRoutingResult>(&Done.m_result);
           Set != nullptr && Done.m_status == SubmitStatus::Committed)
         m_acknowledged = std::max(m_acknowledged, Set->m_version);
+    if (Output.m_snapshot)
+      writeSnapshot(Value, *Output.m_snapshot);
   } while (Value.m_core->hasActions());
 }
 
+void SimCoordinators::writeSnapshot(Member &Value, const Snapshot &State) {
+  Value.m_disk.m_snapshot = State;
+  std::erase_if(Value.m_disk.m_entries, [&State](const LogEntry &Entry) {
+    return Entry.m_index <= State.m_index;
+  });
+  Value.m_core->snapshotWritten(State);
+}
+
+std::size_t SimCoordinators::logBytes(std::size_t At) const {
+  std::size_t Bytes = 0;
+  for (const LogEntry &Entry : m_members[At].m_disk.m_entries)
+    Bytes += Entry.m_command.size();
+  return Bytes;
+}
+
 void SimCoordinators::persist(Member &Value, const RaftActions &Actions) {
   PersistentState &Disk = Value.m_disk;
   if (Actions.m_hardState)
--- a/packages/coordinator/test/SimCoordinators.h
+++ b/packages/coordinator/test/SimCoordinators.h
@@ -17,9 +17,10 @@
 /// bootstrap, as in the product.
 class SimCoordinators {
 public:
-  /// Starts `Count` coordinators as voters.
+  /// Starts `Count` coordinators as voters. `Core` sets the limits of their
+  /// cores; names and members are filled in here.
   SimCoordinators(std::size_t Count, CoordinatorRosterOptions Options,
-                  unsigned Seed);
+                  unsigned Seed, ControlCoreOptions Core = {});
 
   /// From now on, applying the log keeps a coordinator from its timers and
   /// messages for `PerMegabyte` a MiB of commands.
@@ -41,6 +42,8 @@
 
   Instant now() const { return m_now; }
   std::optional<std::size_t> leader() const;
+  /// Bytes of commands that a restart of this coordinator has to apply.
+  std::size_t logBytes(std::size_t At) const;
   /// How often a coordinator became leader so far.
   std::size_t elections() const { return m_elections; }
   /// The latest voter set of the leader, as indexes.
@@ -83,11 +86,13 @@
   void persist(Member &Value, const RaftActions &Actions);
   void send(const Member &From, const NodeId &To,
             const std::function<void(Member &)> &Receive);
+  static void writeSnapshot(Member &Value, const Snapshot &State);
   void deliver(Instant When, Delivery Message);
   void sendCore(const Member &From, const AddressedMessage &Message);
   void sendRoster(Member &From);
 
   CoordinatorRosterOptions m_options;
+  ControlCoreOptions m_coreOptions;
   std::mt19937_64 m_random;
   Instant m_now;
   std::vector<Member> m_members;
--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -15,6 +15,8 @@
 /// entry.
 constexpr absl::Duration LogTimeInterval = absl::Seconds(10);
 constexpr absl::Duration VoterUpdateInterval = absl::Milliseconds(100);
+/// The log grows by this multiple of the last snapshot before the next one.
+constexpr std::size_t LogBytesPerSnapshotByte = 4;
 
 RaftOptions raftOptions(const ControlCoreOptions &Options) {
   RaftOptions Raft = Options.m_raft;
@@ -47,7 +49,8 @@
               State.m_snapshot.m_index),
       m_pendingCommands(m_options.m_node, m_options.m_incarnation),
       m_applied(State.m_snapshot.m_index),
-      m_snapshotIndex(State.m_snapshot.m_index) {
+      m_snapshotIndex(State.m_snapshot.m_index),
+      m_lastSnapshotBytes(State.m_snapshot.m_data.size()) {
   m_raft.setLearners(m_options.m_peers);
   collectActions();
 }
@@ -277,6 +280,8 @@
     m_state = internal::restoreState(Actions.m_snapshot->m_data);
     m_state.setTestHooks(m_hooks);
     m_snapshotIndex = Actions.m_snapshot->m_index;
+    m_lastSnapshotBytes = Actions.m_snapshot->m_data.size();
+    m_bytesSinceSnapshot = 0;
     m_waiting.clear();
     m_applied = m_snapshotIndex;
     m_lease.applied(m_snapshotIndex);
@@ -305,6 +310,7 @@
 void ControlCore::apply(Instant Now, const LogEntry &Entry) {
   ++m_output.m_applied.m_entries;
   m_output.m_applied.m_bytes += Entry.m_command.size();
+  m_bytesSinceSnapshot += Entry.m_command.size();
   if (Entry.m_kind == EntryKind::Command) {
     std::optional<std::vector<Envelope>> Envelopes =
         decodeEnvelopes(Entry.m_command);
@@ -343,13 +349,25 @@
   submit(Now, makeFinishOnceOnly(Begun, OnceOnlyOutcome::NotRun));
 }
 
+bool ControlCore::snapshotDue() const {
+  // A large state is written less often, so that its snapshots stay small
+  // beside the log.
+  std::size_t Bytes =
+      std::max(m_options.m_snapshotBytes,
+               internal::LogBytesPerSnapshotByte * m_lastSnapshotBytes);
+  return m_state.appliedIndex() >=
+             m_snapshotIndex + m_options.m_snapshotInterval ||
+         m_bytesSinceSnapshot >= Bytes;
+}
+
 void ControlCore::maybeSnapshot() {
   std::uint64_t Applied = m_state.appliedIndex();
-  if (m_snapshotPending ||
-      Applied < m_snapshotIndex + m_options.m_snapshotInterval)
+  if (m_snapshotPending || Applied <= m_snapshotIndex || !snapshotDue())
     return;
   m_snapshotPending = true;
   m_output.m_snapshot = m_raft.makeSnapshot(Applied, m_state.snapshot());
+  m_lastSnapshotBytes = m_output.m_snapshot->m_data.size();
+  m_bytesSinceSnapshot = 0;
 }
 
 void ControlCore::snapshotWritten(const Snapshot &Written) {
--- a/packages/node/turmericdyke/src/Node/ControlCore.h
+++ b/packages/node/turmericdyke/src/Node/ControlCore.h
@@ -27,6 +27,9 @@
   RaftOptions m_raft;
   /// Entries between snapshots of the replicated state.
   std::uint64_t m_snapshotInterval = 1000;
+  /// Bytes of commands after which a snapshot is written even if it has fewer
+  /// entries: a restart reads and applies everything after the last snapshot.
+  std::size_t m_snapshotBytes = std::size_t{4} * 1024 * 1024;
   /// Committed entries applied in one turn, at least one. After a restart the
   /// first commit releases the whole log, and a node that applies it in one
   /// turn misses its heartbeats and is replaced as the leader.
@@ -134,6 +137,7 @@
   void closeAbandonedCall(Instant Now, const Envelope &Value,
                           const CommandResult &Outcome);
   void maybeSnapshot();
+  bool snapshotDue() const;
   void send(const NodeId &To, CoreMessage Message);
   ReadLeaseLeaderState readLeaseLeader(Instant Now) const;
 
@@ -153,6 +157,9 @@
   /// voters are only added.
   bool m_removeOtherVoters = false;
   std::uint64_t m_snapshotIndex = 0;
+  /// Size of the last snapshot, and bytes of the commands applied since.
+  std::size_t m_lastSnapshotBytes = 0;
+  std::size_t m_bytesSinceSnapshot = 0;
   bool m_snapshotPending = false;
   /// Ticket of the command that closes earlier calls; 0 before it is submitted.
   std::uint64_t m_closeCallsTicket = 0;
--- a/packages/storage/turmericdyke/src/Storage/DataDirectory.h
+++ b/packages/storage/turmericdyke/src/Storage/DataDirectory.h
@@ -17,7 +17,7 @@
 
 struct DataDirectoryOptions {
   /// A new log file is started once the present one has this size.
-  std::uint64_t m_segmentBytes = std::uint64_t{8} * 1024 * 1024;
+  std::uint64_t m_segmentBytes = std::uint64_t{4} * 1024 * 1024;
 };
 
 /// What a voter keeps on disk: lock, format version, voter identity, hard
