Ask for a lease before any request is decided by the routing document, on public routes too

Callers saw: requests served under a document from before a change that had been confirmed 4 to 9 s earlier. Cause: EntryExchange::admit returned before it looked at the lease if the route is public or no keys are needed, and attempt asked for the lease only where there is a customer. Nodes whose lease had run out served these requests, sent them again and resumed their streams by a document that they could not know to be in force. Class: state that is used beyond the time for which it may be relied on, as the check sat at one of its uses. Change: EntryServices::isInformed is the one check, before route, key and each attempt; readiness asks the same. Looked at besides: 404 and 401 had the check; health answers had it; the product's own ports ask ClusterView::mayStart before each attempt. Ruled out: a lease for keys only (a public route can be dropped or moved as well).

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -74,6 +74,10 @@
   return Names[static_cast<std::size_t>(Reason)];
 }
 
+bool EntryServices::isInformed(Instant Now) const {
+  return m_routes != nullptr && Now < m_feed.leaseUntil();
+}
+
 SharedRetryBudget &EntryServices::retryBudget(const ServiceId &Service) {
   auto [At, New] =
       m_retryBudgets.try_emplace(Service, m_settings.m_retryBudget);
@@ -108,20 +112,18 @@
 }
 
 std::optional<Refusal> EntryExchange::admit() {
-  if (m_routes == nullptr)
-    return Refusal::NotInformed;
-  bool Informed = monotonicNow() < m_services.m_feed.leaseUntil();
   if (m_caller.m_host.empty())
     return Refusal::BadRequest;
+  // Without a lease, routes and keys may have been added, moved or removed, on
+  // public routes too.
+  if (!m_services.isInformed(monotonicNow()))
+    return Refusal::NotInformed;
   m_route = m_routes->find(m_caller.m_host, m_exchange->request().m_target);
-  // Without a lease, the newest routes and keys may be missing.
   if (m_route == nullptr)
-    return Informed ? Refusal::NoRoute : Refusal::NotInformed;
+    return Refusal::NoRoute;
   m_priority = m_route->m_priority;
   if (m_route->m_public || !m_routes->catalog().needsKeys())
     return std::nullopt;
-  if (!Informed)
-    return Refusal::NotInformed;
   const CustomerEntry *Customer = m_routes->customerOf(m_caller.m_key);
   if (m_caller.m_key.empty() || Customer == nullptr)
     return Refusal::NoKey;
@@ -212,8 +214,7 @@
   Instant Now = monotonicNow();
   if (isRefused())
     return refuse(m_mayHaveRun ? Refusal::MayHaveRun : Refusal::CrashesTargets);
-  bool NeedsLease = !m_customer.empty();
-  if (NeedsLease && Now >= m_services.m_feed.leaseUntil())
+  if (!m_services.isInformed(Now))
     return refuse(m_mayHaveRun ? Refusal::MayHaveRun : Refusal::NotInformed);
   std::vector<PlacementOption> Options = placementOptions();
   PlacementDecision Decision =
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -132,8 +132,7 @@
 }
 
 bool EntryNode::ready() const {
-  return !m_stopping && m_services->m_routes != nullptr &&
-         monotonicNow() < m_feed->leaseUntil();
+  return !m_stopping && m_services->isInformed(monotonicNow());
 }
 
 void EntryNode::onReadiness(const std::shared_ptr<ServerExchange> &Exchange) {
--- a/packages/entry/turmericdyke/src/Entry/EntryServices.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -57,6 +57,9 @@
   MetricsRegistry m_metrics;
   absl::BitGen m_random;
 
+  /// Whether the routing document on this node is known to be the newest. No
+  /// request may be decided by it otherwise.
+  bool isInformed(Instant Now) const;
   SharedRetryBudget &retryBudget(const ServiceId &Service);
 };
 
