Take no answer on a kept connection that does not say whose it is

Reported by operators of similar systems: a faulty server wrote an earlier refusal once more on a kept connection; callers were told that a request had not run which had, or it ran at a second server. Cause, here: an answer that names another request was dropped, one that names none was taken for the waiting request. A repeated 'not run' without the id told the caller so while the target ran the request, and let it be sent again. Change: on a connection that carried a call before, an answer without an id is dropped like a foreign one, and the answer to this request is waited for. A request that has no id itself gets a new connection. Measured: platform_test 'a refusal that a target repeats on a kept connection ...' failed before in both cases without the id (503 for a request that ran), passed with the old id; passes now. Ruled out: dropping them on new connections too, where nothing earlier can be repeated.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -274,9 +274,12 @@
   std::string Bytes = requestBytes(
       Request.m_method, Request.m_target,
       m_services.m_protocol.attemptFields(Request, Info), Request.m_body);
-  absl::Duration MaxIdle = m_route->m_kind == RouteKind::AtMostOnce
-                               ? internal::AtMostOnceMaxIdle
-                               : absl::InfiniteDuration();
+  absl::Duration MaxIdle = absl::InfiniteDuration();
+  if (m_route->m_kind == RouteKind::AtMostOnce)
+    MaxIdle = internal::AtMostOnceMaxIdle;
+  // Responses to a request without an identifier do not say whose they are.
+  if (m_caller.m_id.empty())
+    MaxIdle = -absl::InfiniteDuration();
   m_connection = m_services.m_pool.acquireConnection(Target.m_address, MaxIdle);
   ++m_services.m_uses[Target.m_id];
   m_services.m_signals.onSend(m_attemptStarted, Target.m_id);
@@ -329,7 +332,11 @@
 
 bool EntryExchange::onResponseHead(const HttpResponseHead &Head) {
   ResponseInfo Info = m_services.m_protocol.readResponse(Head);
-  if (!Info.m_id.empty() && Info.m_id != m_caller.m_id) {
+  // A target may repeat an earlier response on a kept connection. One that does
+  // not say whose it is could be that.
+  bool Foreign = !Info.m_id.empty() && Info.m_id != m_caller.m_id;
+  bool Unattributed = Info.m_id.empty() && m_connection->calls() > 1;
+  if (Foreign || Unattributed) {
     m_services.m_metrics.increment("turmericdyke_foreign_answers_total");
     LogLine(LogLevel::Warning, "foreign_answer_dropped")
         .field("request", m_caller.m_id)
