Relay only a success as the continuation of a stream

Reported by operators of similar systems: a stream broke off, the next server answered with an error, and callers found the error's text in their stream, or the stream ended as if it were complete. Cause, here: whether bytes belong to the relayed stream was decided by the content type of the current answer, not by its status. An error with the type of an event stream was relayed, and its end completed the caller's response. Change: an attempt streams once its head has started or continued the relay, which asks for a success; nothing else is relayed or completes the response. Measured: platform_test 'an error of the next target is no part of a stream that has begun' failed before for 500 and 503 with the type of an event stream, passed for text/plain; passes now. Ruled out: a check of the status in relay alone, which leaves the false end.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -260,6 +260,7 @@
   m_tried.insert(Target.m_id);
   m_attemptStarted = monotonicNow();
   m_headReceived = false;
+  m_streams = false;
   m_invalid = false;
   m_responseInfo = ResponseInfo();
   m_body.clear();
@@ -379,6 +380,7 @@
 }
 
 void EntryExchange::startRelay(const HttpResponseHead &Head) {
+  m_streams = true;
   m_events.dropPartial();
   if (m_relaying)
     return;
@@ -389,7 +391,7 @@
 void EntryExchange::onResponseBody(std::string_view Bytes) {
   if (m_invalid)
     return;
-  if (isRelaying() && m_responseInfo.m_events)
+  if (m_streams)
     return relay(Bytes);
   if (m_body.size() + Bytes.size() > internal::MaxBufferedResponseBytes)
     return abandonAttempt(AttemptOutcome::Lost);
@@ -436,7 +438,7 @@
   if (m_head.m_status >= internal::FirstServerFailure)
     return AttemptOutcome::FailureAnswered;
   // A stream that ends within an event was cut off by its server.
-  if (isRelaying() && (!m_responseInfo.m_events || !m_events.atBoundary()))
+  if (isRelaying() && (!m_streams || !m_events.atBoundary()))
     return AttemptOutcome::Lost;
   // The end of the connection is the only sign of completeness here.
   if (isRelaying() && m_head.m_endsWithConnection && m_events.events() == 0)
@@ -545,7 +547,7 @@
 }
 
 void EntryExchange::forwardResponse() {
-  if (isRelaying() && m_responseInfo.m_events) {
+  if (m_streams) {
     m_exchange->finish();
     return finish("answered", m_head.m_status);
   }
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -115,6 +115,8 @@
   HttpResponseHead m_head;
   ResponseInfo m_responseInfo;
   bool m_headReceived = false;
+  /// The response of the current attempt is a part of the relayed stream.
+  bool m_streams = false;
   bool m_invalid = false;
   /// The current attempt has relayed an event.
   bool m_eventRelayed = false;
