Send no request to a target that has said in an answer that it leaves

New rule of the users: a server that leaves says so in all its answers; a request that arrives more than drain-ms after such an answer may not reach it from that node. Cause: nothing read the header; a node kept using the target until the leader unlisted it, which takes an announcement that may be late or lost. TargetSignals keeps the instance for ten minutes, so a leader that lists it once more brings it back no more; a successor under the same name is another instance and is used. Ruled out: the group's epoch as the mark of the instance, as a leaving head may be listed in a new group.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -159,6 +159,8 @@
       continue;
     if (Engines && Target.m_model != m_caller.m_model)
       continue;
+    if (m_services.m_signals.isLeaving(Target))
+      continue;
     PlacementOption Option;
     Option.m_target = &Target;
     auto Used = m_services.m_uses.find(Id);
@@ -363,9 +365,21 @@
 }
 
 void EntryExchange::onSignal(const TargetSignal &Signal) {
-  if (!m_services.m_signals.onResponse(monotonicNow(), m_attemptStarted,
-                                       m_target, Signal))
-    return;
+  TargetSignalNews News = m_services.m_signals.onResponse(
+      monotonicNow(), m_attemptStarted, m_target, Signal);
+  if (News.m_limit)
+    logLimit();
+  if (News.m_leaving) {
+    m_services.m_metrics.increment("turmericdyke_target_signals_total",
+                                   {{"signal", "leaving"}});
+    LogLine(LogLevel::Info, "target_leaving_heard")
+        .field("request", m_caller.m_id)
+        .field("target", m_target.m_id)
+        .field("instance", m_target.m_instance);
+  }
+}
+
+void EntryExchange::logLimit() const {
   std::optional<double> Limit = m_services.m_signals.limitOf(m_target);
   m_services.m_metrics.increment(
       "turmericdyke_target_signals_total",
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -55,6 +55,7 @@
   std::vector<PlacementOption> placementOptions();
   /// Takes what the target states of itself in its response.
   void onSignal(const TargetSignal &Signal);
+  void logLimit() const;
   /// What may make this request crash its target; worked out when first asked
   /// for.
   const std::vector<SuspectKey> &keys();
--- a/packages/serving/test/TargetSignalsTest.cpp
+++ b/packages/serving/test/TargetSignalsTest.cpp
@@ -35,6 +35,12 @@
   return Signal;
 }
 
+/// Whether a response changes what is known of the target's limit.
+bool hears(TargetSignals &Signals, Instant Now, Instant SentAt,
+           const ServingTarget &Target, const TargetSignal &Signal) {
+  return Signals.onResponse(Now, SentAt, Target, Signal).m_limit;
+}
+
 /// What a target may get in `Window` from the nodes that know its limit.
 double allowed(double PerSecond) {
   return 1.5 * PerSecond * absl::ToDoubleSeconds(Window) + 5;
@@ -134,14 +140,14 @@
   std::mt19937_64 Random(1);
   TargetSignals Signals;
   Instant Named = Start + absl::Seconds(1);
-  CHECK(Signals.onResponse(Named, Start, target(), limited(2)));
+  CHECK(hears(Signals, Named, Start, target(), limited(2)));
   // Its request was sent before the limit was named: the response may be older.
-  CHECK_FALSE(Signals.onResponse(Named + absl::Milliseconds(5),
-                                 Named - absl::Milliseconds(5), target(), {}));
+  CHECK_FALSE(hears(Signals, Named + absl::Milliseconds(5),
+                    Named - absl::Milliseconds(5), target(), {}));
   CHECK(Signals.limitOf(target()) == 2.0);
   CHECK_FALSE(Signals.limitOf(target(2)));
-  CHECK(Signals.onResponse(Named + absl::Milliseconds(20),
-                           Named + absl::Milliseconds(5), target(), {}));
+  CHECK(hears(Signals, Named + absl::Milliseconds(20),
+              Named + absl::Milliseconds(5), target(), {}));
   CHECK_FALSE(Signals.limitOf(target()));
   CHECK(Signals.nextUse(Named, target(), Random) <= Named);
 }
@@ -151,7 +157,7 @@
   TargetSignals One;
   TargetSignals Two;
   LimitRecords Leader;
-  CHECK(One.onResponse(Start, Start, target(), limited(2)));
+  CHECK(hears(One, Start, Start, target(), limited(2)));
   CHECK(One.hasNews());
   FeedRequest Request;
   One.addReports(Start, Request);
@@ -200,3 +206,18 @@
   Input.m_untilOpen = absl::Seconds(3);
   CHECK(retryAfter(Input, Random) >= absl::Seconds(3));
 }
+
+TEST_CASE(
+    "a target that has said that it leaves is not used again, also if it is "
+    "listed anew, but its successor of the same name is") {
+  TargetSignals Signals;
+  TargetSignal Leaving;
+  Leaving.m_leaving = true;
+  CHECK(Signals.onResponse(Start, Start, target(), Leaving).m_leaving);
+  CHECK_FALSE(Signals.onResponse(Start, Start, target(), Leaving).m_leaving);
+  // A response that was under way says nothing of it.
+  CHECK_FALSE(Signals.onResponse(Start, Start, target(), {}).m_leaving);
+  Signals.retain({});
+  CHECK(Signals.isLeaving(target()));
+  CHECK_FALSE(Signals.isLeaving(target(2)));
+}
--- a/packages/serving/turmericdyke/src/Serving/TargetSignal.h
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignal.h
@@ -11,6 +11,8 @@
   /// Requests a second that it takes from all nodes together; nothing if it
   /// names no limit.
   std::optional<double> m_perSecond;
+  /// It is about to stop and takes no further requests.
+  bool m_leaving = false;
 };
 
 } // namespace turmericdyke
--- a/packages/serving/turmericdyke/src/Serving/TargetSignals.cpp
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignals.cpp
@@ -13,6 +13,8 @@
 /// Longer than the leader keeps a statement, so that a limit does not end on
 /// this node before it is reported again.
 constexpr absl::Duration MaxStatementAge = absl::Seconds(75);
+/// A server that leaves is gone long before.
+constexpr absl::Duration MaxDepartureAge = absl::Minutes(10);
 /// A target that names a lower limit still gets this many requests a second
 /// from all nodes together. Without any, nobody would learn that it takes more
 /// again.
@@ -21,9 +23,33 @@
 } // namespace
 } // namespace internal
 
-bool TargetSignals::onResponse(Instant Now, Instant SentAt,
-                               const ServingTarget &Target,
-                               const TargetSignal &Signal) {
+TargetSignalNews TargetSignals::onResponse(Instant Now, Instant SentAt,
+                                           const ServingTarget &Target,
+                                           const TargetSignal &Signal) {
+  TargetSignalNews News;
+  News.m_limit = hearLimit(Now, SentAt, Target, Signal);
+  News.m_leaving = Signal.m_leaving && hearLeaving(Now, Target);
+  return News;
+}
+
+bool TargetSignals::hearLeaving(Instant Now, const ServingTarget &Target) {
+  std::erase_if(m_leaving, [Now](const auto &Entry) {
+    return Now - Entry.second.m_heardAt > internal::MaxDepartureAge;
+  });
+  bool Known = isLeaving(Target);
+  m_leaving[Target.m_id] = {Target.m_instance, Now};
+  return !Known;
+}
+
+bool TargetSignals::isLeaving(const ServingTarget &Target) const {
+  auto Found = m_leaving.find(Target.m_id);
+  return Found != m_leaving.end() &&
+         Found->second.m_instance == Target.m_instance;
+}
+
+bool TargetSignals::hearLimit(Instant Now, Instant SentAt,
+                              const ServingTarget &Target,
+                              const TargetSignal &Signal) {
   auto Known = m_heard.find(Target.m_id);
   bool Heard = Known != m_heard.end() &&
                Known->second.m_limit.m_instance == Target.m_instance;
--- a/packages/serving/turmericdyke/src/Serving/TargetSignals.h
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignals.h
@@ -16,6 +16,12 @@
 struct ServingTarget;
 struct TargetSignal;
 
+/// What a response has changed in the knowledge of its target.
+struct TargetSignalNews {
+  bool m_limit = false;
+  bool m_leaving = false;
+};
+
 /// Which targets this node may send a request to now, by what targets have
 /// stated of themselves to this node and, through the feed, to the others.
 ///
@@ -27,16 +33,19 @@
 class TargetSignals {
 public:
   /// Takes the signals of a response to a request that was sent at `SentAt`.
-  /// Returns whether they change what is known of the target's limit.
-  bool onResponse(Instant Now, Instant SentAt, const ServingTarget &Target,
-                  const TargetSignal &Signal);
+  TargetSignalNews onResponse(Instant Now, Instant SentAt,
+                              const ServingTarget &Target,
+                              const TargetSignal &Signal);
   /// Takes what the leader knows.
   void learn(Instant Now, const TargetLimitList &List);
   /// Sets the number of nodes that share the limits.
   void setNodes(std::int64_t Nodes);
-  /// Forgets the targets that are not listed any more.
+  /// Forgets the limits of targets that are not listed any more.
   void retain(const std::map<TargetId, ServingTarget> &Targets);
 
+  /// Whether the target has told this node that it is leaving. It is never used
+  /// again, also if a leader that does not know of it lists it once more.
+  bool isLeaving(const ServingTarget &Target) const;
   /// When a request may be sent to the target: `Now` or earlier if it may be
   /// sent now.
   Instant nextUse(Instant Now, const ServingTarget &Target,
@@ -55,12 +64,21 @@
     TargetLimit m_limit;
     Instant m_at;
   };
+  struct Departure {
+    std::uint64_t m_instance = 0;
+    Instant m_heardAt;
+  };
+  bool hearLimit(Instant Now, Instant SentAt, const ServingTarget &Target,
+                 const TargetSignal &Signal);
+  bool hearLeaving(Instant Now, const ServingTarget &Target);
+
   LimitRecords m_records;
   /// What the leader listed last.
   LimitRecords m_listed;
   /// The last statement of each target to this node itself.
   std::map<TargetId, Heard> m_heard;
   std::map<TargetId, LapsingTokens> m_tokens;
+  std::map<TargetId, Departure> m_leaving;
   double m_nodes = 1;
   bool m_news = false;
 };
