Send a target no request while it wants none, and tell callers when it takes one again

New rule of the users: a server that rejects with 503 may add Retry-After and wants nothing from that node for so long. Cause: nothing read it. A node went on sending, and told callers to return after its own estimate. If all targets of the service are closed, by a pause or by their limits, the caller is refused at once with the time at which the first of them opens; targets that this request has tried count too. Ruled out: telling the other nodes: the pause is stated to one node, and the others may still be welcome.

--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -151,15 +151,17 @@
   Instant Now = monotonicNow();
   bool Engines = m_routes->catalog().service(m_service)->m_engine.has_value();
   std::vector<PlacementOption> Options;
-  m_reopens = absl::InfiniteFuture();
-  bool AllClosed = true;
+  Instant Reopens = absl::InfiniteFuture();
   m_services.m_signals.setNodes(m_services.m_feed.possibleEntryNodes());
   for (const auto &[Id, Target] : m_services.m_feed.targets()) {
-    if (Target.m_service != m_service || m_tried.count(Id) > 0)
+    if (Target.m_service != m_service ||
+        (Engines && Target.m_model != m_caller.m_model) ||
+        m_services.m_signals.isLeaving(Target))
       continue;
-    if (Engines && Target.m_model != m_caller.m_model)
-      continue;
-    if (m_services.m_signals.isLeaving(Target))
+    Instant NextUse =
+        m_services.m_signals.nextUse(Now, Target, m_services.m_random);
+    Reopens = std::min(Reopens, NextUse);
+    if (m_tried.count(Id) > 0)
       continue;
     PlacementOption Option;
     Option.m_target = &Target;
@@ -167,17 +169,12 @@
     Option.m_ownRequests = Used == m_services.m_uses.end() ? 0 : Used->second;
     Option.m_otherRequests = m_services.m_feed.requestsOfOthers(Id);
     Option.m_otherRequestsAge = Now - m_services.m_feed.othersUpdatedAt();
-    Instant NextUse =
-        m_services.m_signals.nextUse(Now, Target, m_services.m_random);
     Option.m_closed = NextUse > Now;
-    AllClosed = AllClosed && Option.m_closed;
-    m_reopens = std::min(m_reopens, NextUse);
     Option.m_avoided = m_services.m_health.isAvoided(Now, Id);
     Option.m_quiet = m_services.m_stalls.isQuiet(Now, Id);
     Options.push_back(Option);
   }
-  if (!AllClosed)
-    m_reopens = absl::InfiniteFuture();
+  m_reopens = Reopens > Now ? Reopens : absl::InfiniteFuture();
   return Options;
 }
 
@@ -369,6 +366,15 @@
       monotonicNow(), m_attemptStarted, m_target, Signal);
   if (News.m_limit)
     logLimit();
+  if (News.m_paused) {
+    m_services.m_metrics.increment("turmericdyke_target_signals_total",
+                                   {{"signal", "pause"}});
+    LogLine(LogLevel::Info, "target_pause_heard")
+        .field("request", m_caller.m_id)
+        .field("target", m_target.m_id)
+        .field("instance", m_target.m_instance)
+        .field("ms", absl::ToInt64Milliseconds(*Signal.m_pause));
+  }
   if (News.m_leaving) {
     m_services.m_metrics.increment("turmericdyke_target_signals_total",
                                    {{"signal", "leaving"}});
--- a/packages/serving/test/TargetSignalsTest.cpp
+++ b/packages/serving/test/TargetSignalsTest.cpp
@@ -221,3 +221,19 @@
   CHECK(Signals.isLeaving(target()));
   CHECK_FALSE(Signals.isLeaving(target(2)));
 }
+
+TEST_CASE(
+    "a target that wants no requests for some time gets none until then") {
+  std::mt19937_64 Random(1);
+  TargetSignals Signals;
+  TargetSignal Short;
+  Short.m_pause = absl::Seconds(1);
+  TargetSignal Long;
+  Long.m_pause = absl::Seconds(3);
+  Instant End = Start + absl::Seconds(3);
+  CHECK(Signals.onResponse(Start, Start, target(), Long).m_paused);
+  CHECK_FALSE(Signals.onResponse(Start, Start, target(), Short).m_paused);
+  CHECK(Signals.nextUse(Start, target(), Random) == End);
+  CHECK(Signals.nextUse(Start, target(2), Random) <= Start);
+  CHECK(Signals.nextUse(End, target(), Random) <= End);
+}
--- a/packages/serving/turmericdyke/src/Serving/RetryAfter.cpp
+++ b/packages/serving/turmericdyke/src/Serving/RetryAfter.cpp
@@ -23,6 +23,8 @@
 constexpr double JitterFraction = 0.4;
 
 absl::Duration minDelay(const RetryAfterInput &Input) {
+  if (Input.m_untilOpen && Input.m_cause != RetryAfterCause::CrashesTargets)
+    return std::max(*Input.m_untilOpen, RetryDelay);
   switch (Input.m_cause) {
   case RetryAfterCause::NotInformed:
   case RetryAfterCause::NoTarget:
@@ -32,8 +34,6 @@
       return std::max(RecoveryTime - Input.m_uptime, ShortOutage);
     return ShortOutage;
   case RetryAfterCause::Full:
-    if (Input.m_untilOpen)
-      return std::max(*Input.m_untilOpen, RetryDelay);
     // By then the requests that occupy the targets now have finished.
     return std::max(Input.m_meanRunTime, RetryDelay);
   case RetryAfterCause::AttemptsFailed:
--- a/packages/serving/turmericdyke/src/Serving/TargetSignal.h
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignal.h
@@ -13,6 +13,8 @@
   std::optional<double> m_perSecond;
   /// It is about to stop and takes no further requests.
   bool m_leaving = false;
+  /// It rejected the request and wants no other one from this node for so long.
+  std::optional<absl::Duration> m_pause;
 };
 
 } // namespace turmericdyke
--- a/packages/serving/turmericdyke/src/Serving/TargetSignals.cpp
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignals.cpp
@@ -15,6 +15,8 @@
 constexpr absl::Duration MaxStatementAge = absl::Seconds(75);
 /// A server that leaves is gone long before.
 constexpr absl::Duration MaxDepartureAge = absl::Minutes(10);
+/// A longer pause is taken as a mistake of the target.
+constexpr absl::Duration MaxPause = absl::Hours(1);
 /// A target that names a lower limit still gets this many requests a second
 /// from all nodes together. Without any, nobody would learn that it takes more
 /// again.
@@ -29,9 +31,30 @@
   TargetSignalNews News;
   News.m_limit = hearLimit(Now, SentAt, Target, Signal);
   News.m_leaving = Signal.m_leaving && hearLeaving(Now, Target);
+  News.m_paused = Signal.m_pause && hearPause(Now, Target, *Signal.m_pause);
   return News;
 }
 
+bool TargetSignals::hearPause(Instant Now, const ServingTarget &Target,
+                              absl::Duration Wanted) {
+  std::erase_if(m_pauses, [Now](const auto &Entry) {
+    return Entry.second.m_until <= Now;
+  });
+  // Several requests may be rejected at once; the longest pause counts.
+  Instant Until = Now + std::min(Wanted, internal::MaxPause);
+  if (Until <= std::max(Now, pauseEnd(Target)))
+    return false;
+  m_pauses[Target.m_id] = {Target.m_instance, Until};
+  return true;
+}
+
+Instant TargetSignals::pauseEnd(const ServingTarget &Target) const {
+  auto Found = m_pauses.find(Target.m_id);
+  bool Known =
+      Found != m_pauses.end() && Found->second.m_instance == Target.m_instance;
+  return Known ? Found->second.m_until : absl::InfinitePast();
+}
+
 bool TargetSignals::hearLeaving(Instant Now, const ServingTarget &Target) {
   std::erase_if(m_leaving, [Now](const auto &Entry) {
     return Now - Entry.second.m_heardAt > internal::MaxDepartureAge;
@@ -97,6 +120,11 @@
 
 Instant TargetSignals::nextUse(Instant Now, const ServingTarget &Target,
                                absl::BitGenRef Random) {
+  return std::max(pauseEnd(Target), nextPermission(Now, Target, Random));
+}
+
+Instant TargetSignals::nextPermission(Instant Now, const ServingTarget &Target,
+                                      absl::BitGenRef Random) {
   std::optional<double> Limit = limitOf(Target);
   if (!Limit) {
     m_tokens.erase(Target.m_id);
--- a/packages/serving/turmericdyke/src/Serving/TargetSignals.h
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignals.h
@@ -20,6 +20,7 @@
 struct TargetSignalNews {
   bool m_limit = false;
   bool m_leaving = false;
+  bool m_paused = false;
 };
 
 /// Which targets this node may send a request to now, by what targets have
@@ -46,8 +47,8 @@
   /// Whether the target has told this node that it is leaving. It is never used
   /// again, also if a leader that does not know of it lists it once more.
   bool isLeaving(const ServingTarget &Target) const;
-  /// When a request may be sent to the target: `Now` or earlier if it may be
-  /// sent now.
+  /// When a request may be sent to the target, by its limit and its wish for a
+  /// pause: `Now` or earlier if it may be sent now.
   Instant nextUse(Instant Now, const ServingTarget &Target,
                   absl::BitGenRef Random);
   /// A request is sent to the target.
@@ -68,6 +69,16 @@
     std::uint64_t m_instance = 0;
     Instant m_heardAt;
   };
+  struct Pause {
+    std::uint64_t m_instance = 0;
+    Instant m_until;
+  };
+  bool hearPause(Instant Now, const ServingTarget &Target,
+                 absl::Duration Wanted);
+  /// Until when the target wants no request from this node.
+  Instant pauseEnd(const ServingTarget &Target) const;
+  Instant nextPermission(Instant Now, const ServingTarget &Target,
+                         absl::BitGenRef Random);
   bool hearLimit(Instant Now, Instant SentAt, const ServingTarget &Target,
                  const TargetSignal &Signal);
   bool hearLeaving(Instant Now, const ServingTarget &Target);
@@ -79,6 +90,7 @@
   std::map<TargetId, Heard> m_heard;
   std::map<TargetId, LapsingTokens> m_tokens;
   std::map<TargetId, Departure> m_leaving;
+  std::map<TargetId, Pause> m_pauses;
   double m_nodes = 1;
   bool m_news = false;
 };
