--- a/packages/coordinator/test/LogReplayTest.cpp
+++ b/packages/coordinator/test/LogReplayTest.cpp
@@ -13,7 +13,7 @@
 /// The users' bound on the acknowledgement of a change.
 constexpr absl::Duration AckBound = absl::Seconds(4);
 constexpr absl::Duration Downtime = absl::Seconds(2);
-constexpr std::size_t DocumentBytes = 16 * 1024;
+constexpr std::size_t DocumentBytes = std::size_t{16} * 1024;
 constexpr int Changes = 600;
 
 CoordinatorRosterOptions rosterOptions() {
