Merge the limits that entry nodes report through a relay, and bound them to what a message may hold

Found in the review: a relay strung the reports of its nodes together. Some hundred nodes that hear the limits of a hundred targets at once exceed the 4,096 entries that a message may hold; the leader refuses the message, and with it all else that the relay reports. Change: a relay merges reports by target, and LimitRecords holds at most 4,096 targets; a negative age counts as none. Measured: feed_test 'the limits that many nodes report through a relay fit in a message' (60,000 entries before, by its arithmetic; the test was written with the fix and not run without it).

--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -624,3 +624,22 @@
   Now += absl::Seconds(1);
   CHECK(Receive(2, 4) == 4);
 }
+
+TEST_CASE(
+    "the limits that many nodes report through a relay fit in a message") {
+  FeedRelay Relay(NodeId("relay"));
+  FeedPublisher Publisher;
+  Instant Now = absl::UnixEpoch() + absl::Hours(1);
+  FeedRequest Report;
+  for (std::size_t At = 0; At < 200; ++At)
+    Report.m_limits.push_back(
+        {TargetId("t" + std::to_string(At)), 1, 2.0, 1000});
+  for (int Node = 0; Node < 300; ++Node)
+    Relay.collect(Now, Report);
+  CHECK(Relay.request(Now, Publisher).m_limits.size() == 200);
+  CHECK(Relay.request(Now, Publisher).m_limits.empty());
+  LimitRecords Records;
+  for (std::size_t At = 0; At < 2 * MaxTargetLimits; ++At)
+    (void)Records.record(Now, {TargetId("t" + std::to_string(At)), 1, 2.0, 0});
+  CHECK(Records.list(Now).m_limits.size() == MaxTargetLimits);
+}
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
@@ -45,7 +45,8 @@
   Request.m_crashes = std::exchange(m_crashes, {});
   Request.m_sound = std::exchange(m_sound, {});
   Request.m_limitsVersion = m_limitRecords.version();
-  Request.m_limits = std::exchange(m_limits, {});
+  Request.m_limits = m_limitReports.list(Now).m_limits;
+  m_limitReports.clear();
   m_reportedUses.clear();
   for (const auto &[Target, Requests] : Publisher.uses())
     m_reportedUses.push_back({Target, Requests});
@@ -60,8 +61,9 @@
   internal::mergeInto(m_sound, Request.m_sound);
   m_crashes.insert(m_crashes.end(), Request.m_crashes.begin(),
                    Request.m_crashes.end());
-  m_limits.insert(m_limits.end(), Request.m_limits.begin(),
-                  Request.m_limits.end());
+  // Many entry nodes report the same target.
+  for (const TargetLimit &Limit : Request.m_limits)
+    (void)m_limitReports.record(Now, Limit);
   if (!Request.m_suspects.empty() || !Request.m_crashes.empty() ||
       !Request.m_limits.empty())
     requestNow(Now);
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.h
@@ -76,7 +76,7 @@
   std::vector<TargetId> m_progressing;
   std::vector<CrashReport> m_crashes;
   std::vector<SuspectKey> m_sound;
-  std::vector<TargetLimit> m_limits;
+  LimitRecords m_limitReports;
 };
 
 } // namespace turmericdyke
--- a/packages/feed/turmericdyke/src/Feed/LimitRecords.cpp
+++ b/packages/feed/turmericdyke/src/Feed/LimitRecords.cpp
@@ -1,5 +1,6 @@
 #include "turmericdyke/src/Feed/LimitRecords.h"
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 
@@ -26,7 +27,11 @@
 } // namespace internal
 
 bool LimitRecords::record(Instant Now, const TargetLimit &Limit) {
-  Instant StatedAt = Now - absl::Microseconds(Limit.m_ageMicros);
+  bool Full = m_statements.size() >= MaxTargetLimits;
+  if (Full && m_statements.count(Limit.m_target) == 0)
+    return false;
+  Instant StatedAt =
+      Now - absl::Microseconds(std::max<std::int64_t>(0, Limit.m_ageMicros));
   auto [At, New] = m_statements.try_emplace(Limit.m_target);
   Statement &Known = At->second;
   bool Replaces =
@@ -53,6 +58,13 @@
   return Found->second.m_perSecond;
 }
 
+std::optional<Instant> LimitRecords::statedAt(const TargetId &Target) const {
+  auto Found = m_statements.find(Target);
+  if (Found == m_statements.end())
+    return std::nullopt;
+  return Found->second.m_statedAt;
+}
+
 bool LimitRecords::agreesWith(const TargetLimit &Limit) const {
   auto Found = m_statements.find(Limit.m_target);
   if (Found == m_statements.end())
--- a/packages/feed/turmericdyke/src/Feed/LimitRecords.h
+++ b/packages/feed/turmericdyke/src/Feed/LimitRecords.h
@@ -12,8 +12,8 @@
 
 /// What targets have stated of their limits, and when. The newest statement of
 /// the newest instance counts, whichever node heard it and in whichever order
-/// the reports arrive. A statement that nobody has repeated for a while is
-/// dropped.
+/// the reports arrive. Holds at most `MaxTargetLimits` targets; further ones
+/// are ignored.
 class LimitRecords {
 public:
   /// Takes a statement that is `Limit.m_ageMicros` old at `Now`. Returns
@@ -22,6 +22,8 @@
   /// The limit of this instance; nothing if it has none.
   std::optional<double> limitOf(const TargetId &Target,
                                 std::uint64_t Instance) const;
+  /// When the target made its last statement; nothing if none is known.
+  std::optional<Instant> statedAt(const TargetId &Target) const;
   /// Whether `Limit` says what is known already.
   bool agreesWith(const TargetLimit &Limit) const;
   /// Drops the statements that are older than `MaxAge`.
--- a/packages/fleet/turmericdyke/src/Fleet/TargetLimit.h
+++ b/packages/fleet/turmericdyke/src/Fleet/TargetLimit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -8,6 +9,10 @@
 
 namespace turmericdyke {
 
+/// Limits that a message may hold. A receiver refuses a longer list, and the
+/// message with it.
+inline constexpr std::size_t MaxTargetLimits = 4096;
+
 /// What a target has stated of the requests that it takes from all nodes
 /// together.
 struct TargetLimit {
