Withdraw a limit only by a response to a request that was sent after the limit had been stated to any node

Found in the review: a node that knew a limit only from the feed took a response that was under way as its withdrawal, and told all others so. Change: the time of the statement decides, whichever node heard it. Old statements expire with each report, not only with a new list; the version of the list is stated to every coordinator that is asked; equal rates leave the tokens as they are. Measured: serving_test 'a node reports what the leader does not know ...' has the case and failed without the change.

--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -182,6 +182,7 @@
       m_services->m_signals.addReports(Now, Outgoing.m_request);
     }
     Outgoing.m_request.m_suspectsVersion = m_services->m_suspects.version();
+    Outgoing.m_request.m_limitsVersion = m_services->m_signals.listedVersion();
     Outgoing.m_request.m_stopping = m_stopping;
     auto Sent = m_transport->sendTo(Outgoing.m_coordinator.str(),
                                     PeerMessageKind::FeedRequest,
--- a/packages/node/turmericdyke/src/Node/CoreDriver.h
+++ b/packages/node/turmericdyke/src/Node/CoreDriver.h
@@ -4,7 +4,6 @@
 #include <string_view>
 
 #include "absl/time/time.h"
-
 #include "turmericdyke/src/Node/ControlCore.h"
 
 namespace turmericdyke {
--- a/packages/serving/test/TargetSignalsTest.cpp
+++ b/packages/serving/test/TargetSignalsTest.cpp
@@ -170,7 +170,7 @@
   Request = FeedRequest();
   One.addReports(Start, Request);
   CHECK(Request.m_limits.empty());
-  CHECK(Request.m_limitsVersion == Leader.version());
+  CHECK(One.listedVersion() == Leader.version());
   // The empty list of a new leader takes no limit away, and the node that has
   // heard the target reports it again.
   One.learn(Start, {});
@@ -178,6 +178,10 @@
   CHECK(Two.limitOf(target()) == 2.0);
   One.addReports(Start, Request);
   CHECK(Request.m_limits.size() == 1);
+  // A response to a request that this node sent before another node heard the
+  // limit may be older than the limit.
+  CHECK_FALSE(hears(Two, Start + absl::Milliseconds(5),
+                    Start - absl::Milliseconds(5), target(), {}));
   Instant Later = Start + absl::Seconds(1);
   CHECK(Leader.record(Later, {target().m_id, 1, std::nullopt, 0}));
   Two.learn(Later, Leader.list(Later));
--- a/packages/serving/turmericdyke/src/Serving/LapsingTokens.cpp
+++ b/packages/serving/turmericdyke/src/Serving/LapsingTokens.cpp
@@ -29,9 +29,11 @@
 
 void LapsingTokens::setRate(Instant Now, double PerSecond,
                             absl::Duration Lifetime) {
+  absl::Duration Interval = internal::intervalOf(PerSecond);
+  if (Interval == m_interval && Lifetime == m_lifetime)
+    return;
   dropLapsed(Now);
   m_lifetime = Lifetime;
-  absl::Duration Interval = internal::intervalOf(PerSecond);
   // The wait for the next permission is scaled, so that the moments of
   // different nodes stay apart.
   if (m_oldest > Now)
--- a/packages/serving/turmericdyke/src/Serving/TargetSignals.cpp
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignals.cpp
@@ -73,15 +73,11 @@
 bool TargetSignals::hearLimit(Instant Now, Instant SentAt,
                               const ServingTarget &Target,
                               const TargetSignal &Signal) {
-  auto Known = m_heard.find(Target.m_id);
-  bool Heard = Known != m_heard.end() &&
-               Known->second.m_limit.m_instance == Target.m_instance;
-  if (!Signal.m_perSecond) {
-    // Responses overtake each other. One without a limit withdraws it only if
-    // its request was sent after the limit had been named.
-    if (!limitOf(Target) || (Heard && SentAt <= Known->second.m_at))
-      return false;
-  }
+  // Responses overtake each other. One without a limit withdraws it only if its
+  // request was sent after the limit had been named, to this node or another.
+  if (!Signal.m_perSecond &&
+      (!limitOf(Target) || SentAt <= m_records.statedAt(Target.m_id)))
+    return false;
   TargetLimit Limit{Target.m_id, Target.m_instance, Signal.m_perSecond, 0};
   m_heard[Target.m_id] = {Limit, Now};
   bool Changed = m_records.record(Now, Limit);
@@ -95,7 +91,6 @@
     (void)m_listed.record(Now, Limit);
     (void)m_records.record(Now, Limit);
   }
-  m_records.expire(Now, internal::MaxStatementAge);
   std::erase_if(m_heard, [Now](const auto &Entry) {
     return Now - Entry.second.m_at > internal::MaxStatementAge;
   });
@@ -149,8 +144,8 @@
 
 void TargetSignals::addReports(Instant Now, FeedRequest &Request) {
   m_news = false;
-  Request.m_limitsVersion = m_listed.version();
-  for (auto &[Target, Heard] : m_heard) {
+  m_records.expire(Now, internal::MaxStatementAge);
+  for (const auto &[Target, Heard] : m_heard) {
     if (m_listed.agreesWith(Heard.m_limit))
       continue;
     Request.m_limits.push_back(Heard.m_limit);
--- a/packages/serving/turmericdyke/src/Serving/TargetSignals.h
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignals.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 
 #include "absl/random/bit_gen_ref.h"
 #include "turmericdyke/src/Base/Instant.h"
@@ -57,6 +56,8 @@
 
   /// Whether a target has stated something that the leader must learn soon.
   bool hasNews() const { return m_news; }
+  /// Version of the list that was learned last.
+  std::uint64_t listedVersion() const { return m_listed.version(); }
   /// Adds what the leader does not know to a request to it.
   void addReports(Instant Now, FeedRequest &Request);
 
