--- a/review/common/Deployment.hpp
+++ b/review/common/Deployment.hpp
@@ -91,6 +91,8 @@
   ~Deployment() {
     for (Machine &Each : m_machines)
       end(Each, SIGKILL);
+    for (Machine &Each : m_extra)
+      end(Each, SIGKILL);
     if (std::getenv("KEEP") == nullptr)
       std::filesystem::remove_all(m_folder);
   }
@@ -119,6 +121,18 @@
     run(Each);
   }
 
+  // Adds a coordinator with an address of its own and an empty disk while the
+  // system runs. `Seeds` are the machines that its settings name.
+  Machine &addCoordinator(const std::vector<std::size_t> &Seeds) {
+    m_extra.push_back({"core-" + std::to_string(m_coordinators + 1),
+                       "coordinator",
+                       ip(10 + static_cast<int>(m_coordinators))});
+    m_seeds = Seeds;
+    writeSettings(m_extra.back(), false);
+    run(m_extra.back());
+    return m_extra.back();
+  }
+
   std::vector<Machine> &machines() { return m_machines; }
   Machine &core(std::size_t At) { return m_machines[At]; }
   Machine &edge(std::size_t At) { return m_machines[m_coordinators + At]; }
@@ -272,8 +286,7 @@
               Each.readiness() + "\"\n";
     Text += "internal-ports:\n  - " + std::to_string(Ports::Internal) +
             "\n  - " + std::to_string(Ports::Internal + 15) + "\nseeds:\n";
-    for (std::size_t At = 0; At < std::min<std::size_t>(3, m_coordinators);
-         ++At)
+    for (std::size_t At : m_seeds)
       Text += "  - \"" + m_machines[At].control() + "\"\n";
     Text += std::string("bootstrap: ") + (First ? "true" : "false") + "\n";
     Text += std::string("in-tolerance: ") + (Core ? "true" : "false") + "\n";
@@ -303,6 +316,9 @@
   std::filesystem::path m_folder;
   std::string m_prefix;
   std::vector<Machine> m_machines;
+  // At most one coordinator is added.
+  std::vector<Machine> m_extra;
+  std::vector<std::size_t> m_seeds = {0, 1, 2};
   std::size_t m_coordinators = 0;
   int m_tolerated = 1;
 };
