Report crashes over kept connections

Cause: a break before the head of a response, on a connection that had carried a call, counted as "the server had closed the kept connection", whenever it came. So the crash was not reported, the target's health recorded no failure, and the target could get the same request again. Requests passed on to another entry node were treated alike.

Change: decideBreakCause, code of its own, decides by what the socket shows. A closed socket acknowledges nothing; a server that began to run a request had acknowledged it. The unacknowledged bytes are read when the connection ends (SIOCOUTQ). An end within a round trip or with a reset stays ambiguous: it is reported, one report convicts nobody, and the request may go to the same target if there is no other. connection_broke logs the evidence.

Ruled out: acknowledgement and time alone. 20 of the 40 requests of "a stale kept-alive connection fails no request" then failed, as its slow target closes 200 ms after the request arrived, without having read it.

--- a/packages/entry/turmericdyke/src/Entry/EntryAttempt.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryAttempt.cpp
@@ -164,22 +164,42 @@
                                            : AttemptOutcome::Lost;
 }
 
+std::optional<BreakCause>
+EntryAttempt::breakCauseOf(ClientCallStatus End) const {
+  if (End != ClientCallStatus::Broken || m_headReceived || !m_connection)
+    return std::nullopt;
+  const RequestDelivery &Delivery = m_connection->delivery();
+  BreakEvidence Evidence;
+  Evidence.m_keptConnection = m_connection->calls() > 1;
+  Evidence.m_sentWhole = Delivery.m_sentWhole;
+  Evidence.m_unacknowledged = Delivery.m_unacknowledged;
+  Evidence.m_reset = m_socketError != 0;
+  Evidence.m_sinceSent = Delivery.m_sinceSent;
+  LogLine(LogLevel::Info, "connection_broke")
+      .field("request", m_requestId)
+      .field("target", m_destination.m_id)
+      .field("kept", Evidence.m_keptConnection)
+      .field("sent_whole", Evidence.m_sentWhole)
+      .field("unacknowledged",
+             Evidence.m_unacknowledged
+                 ? static_cast<std::int64_t>(*Evidence.m_unacknowledged)
+                 : -1)
+      .field("reset", Evidence.m_reset)
+      .field("since_sent_ms", absl::ToInt64Milliseconds(Evidence.m_sinceSent));
+  return decideBreakCause(Evidence);
+}
+
 void EntryAttempt::onCallEnd(ClientCallStatus End) {
   AttemptOutcome Outcome = outcomeOf(End);
   if (m_connection)
     m_socketError = m_connection->socketError();
-  // A kept-alive connection that the server had closed says nothing about the
-  // server's health.
-  m_staleConnection = End == ClientCallStatus::Broken && !m_headReceived &&
-                      m_connection && m_connection->calls() > 1;
+  m_breakCause = breakCauseOf(End);
   // A connection may also be accepted and reset at once where a path is cut.
-  bool NewConnectionFailed =
-      Outcome == AttemptOutcome::NotSent ||
-      (End == ClientCallStatus::Broken && !m_headReceived && m_connection &&
-       m_connection->calls() == 1);
+  bool NewConnectionFailed = Outcome == AttemptOutcome::NotSent ||
+                             (m_breakCause && m_connection->calls() == 1);
   if (NewConnectionFailed)
     recordConnection(false);
-  m_brokeOff = Outcome == AttemptOutcome::Lost && !m_staleConnection &&
+  m_brokeOff = Outcome == AttemptOutcome::Lost && !brokeUndelivered() &&
                !m_invalid && End != ClientCallStatus::Malformed;
   end(Outcome, End == ClientCallStatus::Complete && !m_invalid);
 }
--- a/packages/entry/turmericdyke/src/Entry/EntryAttempt.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryAttempt.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Entry/EntryProtocol.h"
 #include "turmericdyke/src/Fleet/FeedMessage.h"
 #include "turmericdyke/src/Http/HttpClientConnection.h"
+#include "turmericdyke/src/Serving/BreakCause.h"
 #include "turmericdyke/src/Serving/RetryDecision.h"
 
 namespace turmericdyke {
@@ -53,10 +55,23 @@
   const HttpResponseHead &head() const { return m_head; }
   /// The response is relayed as a stream.
   bool streams() const { return m_streams; }
-  /// A kept-alive connection that the other side had closed. The request may be
-  /// sent there again.
-  bool usedStaleConnection() const { return m_staleConnection; }
-  /// The connection broke within a valid response or before it.
+  /// Why the connection broke before a response; nothing if it did not.
+  std::optional<BreakCause> breakCause() const { return m_breakCause; }
+  /// A kept-alive connection that the other side had closed.
+  bool usedStaleConnection() const {
+    return m_breakCause == BreakCause::ClosedBefore;
+  }
+  /// The other side may have closed an idle connection; a repeatable request
+  /// may be sent there again.
+  bool mayRetryThere() const {
+    return usedStaleConnection() || m_breakCause == BreakCause::Ambiguous;
+  }
+  /// The connection broke before the request had reached the other side.
+  bool brokeUndelivered() const {
+    return usedStaleConnection() || m_breakCause == BreakCause::Undelivered;
+  }
+  /// The connection broke within a valid response, or before it while the other
+  /// side had the whole request.
   bool brokeOff() const { return m_brokeOff; }
   /// See `HttpClientConnection::socketError`.
   int socketError() const { return m_socketError; }
@@ -90,6 +105,7 @@
   RequestId m_requestId;
 
 private:
+  std::optional<BreakCause> breakCauseOf(ClientCallStatus End) const;
   AttemptOutcome outcomeOf(ClientCallStatus End) const;
   /// `Keep` returns the connection to the pool.
   void release(bool Keep);
@@ -107,7 +123,7 @@
   bool m_streams = false;
   bool m_invalid = false;
   bool m_eventRelayed = false;
-  bool m_staleConnection = false;
+  std::optional<BreakCause> m_breakCause;
   bool m_brokeOff = false;
   int m_socketError = 0;
 };
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -504,8 +504,7 @@
   Instant Now = monotonicNow();
   if (Outcome == AttemptOutcome::Answered && m_services.m_suspects.active())
     m_services.m_suspects.requestProgressed(Now, keys());
-  // A server that had closed a kept connection may be tried again.
-  if (m_attempt->usedStaleConnection())
+  if (m_attempt->mayRetryThere())
     m_tried.erase(m_attempt->destination().m_id);
   if (m_attempt->brokeOff() && !m_attempt->isPeer() && !hasPastStart())
     reportCrash();
@@ -684,6 +683,8 @@
              m_attempt->socketError() == 0
                  ? "sound"
                  : std::generic_category().message(m_attempt->socketError()))
+      .field("break", m_attempt->breakCause() ? nameOf(*m_attempt->breakCause())
+                                              : "none")
       .field("began", m_attempt->headReceived())
       .field("events", m_events.events())
       .field("parts", absl::StrJoin(m_caller.m_promptParts, ","))
--- a/packages/entry/turmericdyke/src/Entry/PeerAttempt.cpp
+++ b/packages/entry/turmericdyke/src/Entry/PeerAttempt.cpp
@@ -73,7 +73,7 @@
     m_services.m_peerHealth.recordFailure(Now, m_destination.m_id);
   else if (Outcome == AttemptOutcome::Answered)
     m_services.m_peerHealth.recordSuccess(m_destination.m_id);
-  if (Outcome == AttemptOutcome::NotSent || usedStaleConnection())
+  if (Outcome == AttemptOutcome::NotSent || brokeUndelivered())
     m_services.m_pool.drop(m_destination.m_address);
 }
 
--- a/packages/entry/turmericdyke/src/Entry/TargetAttempt.cpp
+++ b/packages/entry/turmericdyke/src/Entry/TargetAttempt.cpp
@@ -47,7 +47,7 @@
   bool NotSent = Outcome == AttemptOutcome::NotSent;
   if (NotSent || (Outcome == AttemptOutcome::Lost && !usedStaleConnection()))
     m_services.m_health.recordFailure(Now, m_destination.m_id);
-  if (NotSent || usedStaleConnection())
+  if (NotSent || brokeUndelivered())
     m_services.m_pool.drop(m_destination.m_address);
   if (Outcome != AttemptOutcome::Answered)
     return;
--- a/packages/http/turmericdyke/src/Http/HttpClientConnection.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpClientConnection.cpp
@@ -64,6 +64,8 @@
   m_events = &Events;
   m_output = std::move(Bytes);
   m_sent = 0;
+  m_lastSent = monotonicNow();
+  m_sendFailed = false;
   m_isHead = IsHead;
   m_skipping = false;
   m_accepted = false;
@@ -133,12 +135,14 @@
       break;
     if (Count < 0) {
       m_socketError = errno;
+      m_sendFailed = true;
       // The response may have arrived before the connection broke.
       m_output.resize(m_sent);
       m_reusable = false;
       break;
     }
     m_sent += static_cast<std::size_t>(Count);
+    m_lastSent = monotonicNow();
   }
   updateEvents();
 }
@@ -259,6 +263,16 @@
     m_messageEnded = true;
 }
 
+RequestDelivery HttpClientConnection::currentDelivery() const {
+  RequestDelivery Delivery;
+  if (m_state != State::Calling)
+    return Delivery;
+  Delivery.m_sentWhole = !m_sendFailed && m_sent == m_output.size();
+  Delivery.m_unacknowledged = internal::unacknowledgedBytes(m_socket);
+  Delivery.m_sinceSent = monotonicNow() - m_lastSent;
+  return Delivery;
+}
+
 void HttpClientConnection::endCall(ClientCallStatus End) {
   // A server may respond before it has received the whole request. The
   // connection is then not reused, as the rest of the request was not sent.
@@ -268,6 +282,7 @@
     m_state = State::Idle;
     m_idleSince = monotonicNow();
   } else {
+    m_delivery = currentDelivery();
     dropSocket();
   }
   ClientCallEvents *Events = std::exchange(m_events, nullptr);
--- a/packages/http/turmericdyke/src/Http/HttpClientConnection.h
+++ b/packages/http/turmericdyke/src/Http/HttpClientConnection.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "turmericdyke/src/Http/HttpReader.h"
@@ -36,6 +37,17 @@
   virtual void onCallEnd(ClientCallStatus End) = 0;
 };
 
+/// How far the request of a call had got when its connection ended.
+struct RequestDelivery {
+  /// The socket took all bytes of the request.
+  bool m_sentWhole = false;
+  /// Bytes that the peer's kernel had not acknowledged; nothing if the system
+  /// does not tell.
+  std::optional<std::size_t> m_unacknowledged;
+  /// Since the socket last took bytes of the request.
+  absl::Duration m_sinceSent = absl::ZeroDuration();
+};
+
 struct ClientConnectionOptions {
   absl::Duration m_connectTimeout = absl::Milliseconds(500);
   /// See `limitSilence`.
@@ -69,6 +81,8 @@
   /// The socket's error that ended the connection, as in errno; 0 if there is
   /// none. ETIMEDOUT: the peer acknowledged nothing, see `limitSilence`.
   int socketError() const { return m_socketError; }
+  /// Valid once the connection has ended within a call.
+  const RequestDelivery &delivery() const { return m_delivery; }
   /// Whether any byte of the current call was passed to the socket.
   bool sentAny() const { return m_sent > 0; }
   /// Sets a callback for when the server closes the connection while it is
@@ -93,6 +107,7 @@
   void updateEvents();
   void endCall(ClientCallStatus End);
   void dropSocket();
+  RequestDelivery currentDelivery() const;
   absl::Duration keepAliveTime() const;
 
   EventLoop &m_loop;
@@ -104,6 +119,9 @@
   ClientCallEvents *m_events = nullptr;
   std::string m_output;
   std::size_t m_sent = 0;
+  Instant m_lastSent = absl::InfinitePast();
+  bool m_sendFailed = false;
+  RequestDelivery m_delivery;
   bool m_isHead = false;
   bool m_skipping = false;
   /// Whether a response head of the current call was accepted, and how many
--- a/packages/loop/turmericdyke/src/Loop/Sockets.cpp
+++ b/packages/loop/turmericdyke/src/Loop/Sockets.cpp
@@ -4,9 +4,11 @@
 #include <cassert>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -138,4 +140,11 @@
   return Code;
 }
 
+std::optional<std::size_t> unacknowledgedBytes(const Descriptor &Socket) {
+  int Bytes = 0;
+  if (ioctl(Socket.get(), SIOCOUTQ, &Bytes) != 0 || Bytes < 0)
+    return std::nullopt;
+  return static_cast<std::size_t>(Bytes);
+}
+
 } // namespace turmericdyke::internal
--- a/packages/loop/turmericdyke/src/Loop/Sockets.h
+++ b/packages/loop/turmericdyke/src/Loop/Sockets.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -54,5 +56,10 @@
 /// none.
 int pendingError(const Descriptor &Socket);
 
+/// Bytes that were sent on a connected socket and that the kernel of the peer
+/// has not acknowledged, also after the connection has ended. Nothing if the
+/// system does not tell.
+std::optional<std::size_t> unacknowledgedBytes(const Descriptor &Socket);
+
 } // namespace internal
 } // namespace turmericdyke
