Refuse a request after five crashes without a response

Cause: services without an engine send their head at the end of a run, so each crash counts as one of a request that may have waited. The verdict took six of them. Three retries are allowed later than 3 s after the third crash; one that comes every 10 s used all of them, and one more under way at another node was too many.

Change: five crashes. A sound request meets at most four: two attempts, and two more when its caller repeats it. Engines keep three crashes, as each counts for two points.

Result: "a request that crashes targets without a response is refused in time" fails with six (seen: 4 of 3 allowed) and passes; "four crashes of targets without a response convict nobody" passes with both.

--- a/packages/feed/test/SuspectTest.cpp
+++ b/packages/feed/test/SuspectTest.cpp
@@ -107,6 +107,43 @@
         std::vector<SuspectKey>{Deadly});
 }
 
+// Guards against a deadly request for a service that responds at the end of a
+// run: each crash counts as one of a request that may have waited, and the
+// platform allows three sends later than 3 s after the third crash.
+TEST_CASE("a request that crashes targets without a response is refused in "
+          "time, however seldom it comes") {
+  for (int IntervalMillis : {500, 1500, 3000, 10'000}) {
+    CAPTURE(IntervalMillis);
+    CrashAttribution Crashes;
+    int Millis = 0;
+    int SentLate = 0;
+    bool Refused = false;
+    for (int Crash = 1; Crash <= 20 && !Refused; ++Crash) {
+      Millis += IntervalMillis;
+      SentLate += Millis > 3 * IntervalMillis + 3000 ? 1 : 0;
+      Crashes.record(after(Millis),
+                     crash("t" + std::to_string(Crash), {101}, false));
+      (void)Crashes.judge(after(Millis), neverRefused);
+      Refused = !Crashes.judge(after(Millis + 400), neverRefused).empty();
+    }
+    CHECK(Refused);
+    // One more may be under way at another node.
+    CHECK(SentLate + 1 <= 3);
+  }
+}
+
+// Guards against a sound request that is refused because it was running on each
+// target that a deadly one crashed: two attempts, and two of its caller's
+// retry.
+TEST_CASE("four crashes of targets without a response convict nobody") {
+  CrashAttribution Crashes;
+  for (int At = 0; At < 4; ++At)
+    Crashes.record(after(At * 400),
+                   crash("t" + std::to_string(At), {101}, false));
+  (void)Crashes.judge(after(1600), neverRefused);
+  CHECK(Crashes.judge(after(5000), neverRefused).empty());
+}
+
 namespace {
 
 /// Requests of one route at many targets in virtual time, with the entry nodes
--- a/packages/feed/turmericdyke/src/Feed/CrashAttribution.h
+++ b/packages/feed/turmericdyke/src/Feed/CrashAttribution.h
@@ -17,8 +17,10 @@
   int m_pointsIfBegun = 2;
   int m_pointsIfWaiting = 1;
   /// An exact request with so many points is guilty: it crashed three targets
-  /// at the start of its response.
-  int m_guiltyPointsOfRequest = 6;
+  /// at the start of its response, or took part in five crashes of targets that
+  /// respond at the end of a run. A sound request meets at most four of those:
+  /// two attempts, and two more when its caller repeats it.
+  int m_guiltyPointsOfRequest = 5;
   /// A part of a prompt with so many points is guilty, if at least two requests
   /// contribute, each at most half.
   int m_guiltyPointsOfPart = 8;
