Record withdrawals of servers in the replicated log

Cause: the fact was in the memory of the leader only. A successor inherited the server as draining, and a higher sequence number made it ready again. The same holds for a leader killed after the answer, a hand-over, and the loss of power of the whole core.

Change: a withdrawal is answered once it is committed to the replicated log; those of 10 ms share an entry. Each leader asks the replicated state before it believes an announcement, also one that another coordinator took for it, and takes the recorded withdrawals over when it begins to lead. The record is a mark_suspects command under a name that no customer has, which coordinators of apply and store, so the states of old and new versions stay equal. Beside it: a withdrawal of a server that the leader does not know is refused with 503 and not acknowledged and forgotten; a confirmation of the next life of a withdrawn server is taken.

Ruled out: a copy confirmed by a majority (lost when all lose power), entry nodes that report it again (lost with them), a command of its own (an old follower would ignore it and hold another state). docs/design.md has the table.

--- a/packages/control/turmericdyke/src/Control/ControlState.h
+++ b/packages/control/turmericdyke/src/Control/ControlState.h
@@ -121,6 +121,16 @@
   std::map<RequestIdentity, SuspectState> suspects() const {
     return m_suspects.all();
   }
+  /// The marked requests of one customer.
+  std::map<RequestIdentity, SuspectState>
+  suspectsOf(const CustomerId &Customer) const {
+    return m_suspects.of(Customer);
+  }
+  /// The first marked request that is not ordered before `From`.
+  std::optional<RequestIdentity>
+  firstSuspectFrom(const RequestIdentity &From) const {
+    return m_suspects.firstFrom(From);
+  }
   /// The suspect request that may currently run.
   const std::optional<BeginSuspectRun> &suspectRun() const {
     return m_suspects.run();
--- a/packages/control/turmericdyke/src/Control/SuspectTable.cpp
+++ b/packages/control/turmericdyke/src/Control/SuspectTable.cpp
@@ -81,6 +81,23 @@
   return Marked;
 }
 
+std::map<RequestIdentity, SuspectState>
+SuspectTable::of(const CustomerId &Customer) const {
+  std::map<RequestIdentity, SuspectState> Marked;
+  for (auto At = m_marks.lower_bound({Customer, ""});
+       At != m_marks.end() && At->first.m_customer == Customer; ++At)
+    Marked.emplace(At->first, stateOf(At->first));
+  return Marked;
+}
+
+std::optional<RequestIdentity>
+SuspectTable::firstFrom(const RequestIdentity &From) const {
+  auto Found = m_marks.lower_bound(From);
+  if (Found == m_marks.end())
+    return std::nullopt;
+  return Found->first;
+}
+
 void SuspectTable::apply(const ClearSuspect &Command) {
   auto Found = m_marks.find(Command.m_request);
   // That a run completed before the second crash does not clear the request of
--- a/packages/control/turmericdyke/src/Control/SuspectTable.h
+++ b/packages/control/turmericdyke/src/Control/SuspectTable.h
@@ -40,6 +40,10 @@
 
   /// All marked requests.
   std::map<RequestIdentity, SuspectState> all() const;
+  /// The marked requests of one customer.
+  std::map<RequestIdentity, SuspectState> of(const CustomerId &Customer) const;
+  /// The first marked request that is not ordered before `From`.
+  std::optional<RequestIdentity> firstFrom(const RequestIdentity &From) const;
   const std::optional<BeginSuspectRun> &run() const { return m_run; }
   SuspectState stateOf(const RequestIdentity &Request) const;
   /// Log time until which the request is refused; empty if it is not refused.
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -6,6 +6,7 @@
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Base/LogSink.h"
+#include "turmericdyke/src/Coordinator/WithdrawalRecords.h"
 #include "turmericdyke/src/Feed/FeedAssignment.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
 
@@ -117,6 +118,9 @@
 }
 
 void CoordinatorNode::accept(const ServerAnnouncement &Announcement) {
+  if (isWithdrawn(m_core->state(),
+                  {Announcement.m_id, Announcement.m_startMillis}))
+    return m_metrics.increment("turmericdyke_withdrawn_announcements_total");
   AnnouncementResult Outcome = m_servers.announce(monotonicNow(), Announcement);
   if (Outcome != AnnouncementResult::Changed)
     return;
@@ -160,19 +164,6 @@
   return m_protocol.announcementResponse(controlAddressOf(Assigned));
 }
 
-void CoordinatorNode::handle(const std::shared_ptr<ServerExchange> &Exchange,
-                             const WithdrawCall &Call) {
-  if (!leads() || m_stopping)
-    return redirect(*Exchange);
-  bool Known = m_servers.withdraw(monotonicNow(), Call.m_id);
-  LogLine(LogLevel::Info, "server_withdrawn")
-      .field("target", Call.m_id)
-      .field("known", Known);
-  pushDirectory();
-  schedulePlan();
-  Exchange->respond(HttpResponse());
-}
-
 void CoordinatorNode::onMetrics(
     const std::shared_ptr<ServerExchange> &Exchange) {
   m_metrics.set("turmericdyke_leads", leads() ? 1 : 0);
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -8,6 +8,7 @@
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Coordinator/ClusterMembers.h"
 #include "turmericdyke/src/Coordinator/SuspectRecords.h"
+#include "turmericdyke/src/Coordinator/WithdrawalRecords.h"
 #include "turmericdyke/src/Node/CoreCodec.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
 
@@ -113,7 +114,8 @@
   Instant Now = monotonicNow();
   if (Parsed.value().m_term == m_ledTerm)
     for (const ServerHeard &Heard : Parsed.value().m_unchanged)
-      m_servers.confirm(Now, Heard);
+      if (!isWithdrawn(m_core->state(), {Heard.m_id, Heard.m_startMillis}))
+        m_servers.confirm(Now, Heard);
   for (const ServerAnnouncement &Announcement : Parsed.value().m_changed)
     accept(Announcement);
 }
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -240,14 +240,15 @@
       .field("retry_ms",
              absl::ToInt64Milliseconds(internal::StorageRetryDelay));
   stopLeading();
-  refusePendingPuts("storage failed");
+  refusePendingCalls("storage failed");
   m_loop.after(internal::StorageRetryDelay, [this] { reopenStorage(); });
 }
 
-void CoordinatorNode::refusePendingPuts(const std::string &Reason) {
+void CoordinatorNode::refusePendingCalls(const std::string &Reason) {
   for (const auto &[Ticket, Exchange] : m_pendingPuts)
     Exchange->respond(m_protocol.errorResponse(503, Reason));
   m_pendingPuts.clear();
+  refuseWithdrawals(Reason);
 }
 
 void CoordinatorNode::reopenStorage() {
@@ -290,6 +291,7 @@
         m_fencingToken = Granted->m_first;
       continue;
     }
+    onWithdrawalsDone(Done.m_ticket, Done.m_status == SubmitStatus::Committed);
     auto Found = m_pendingPuts.find(Done.m_ticket);
     if (Found == m_pendingPuts.end())
       continue;
@@ -336,6 +338,7 @@
 
 void CoordinatorNode::applyState() {
   updateSuspects();
+  applyWithdrawals();
   const SetRouting &Routing = m_core->state().routing();
   if (Routing.m_version <= m_catalog.m_version)
     return;
@@ -392,7 +395,7 @@
   bool Votes = m_core && mayHandVoteOver(monotonicNow(), m_roster, *m_core);
   absl::Duration Stopping = monotonicNow() - m_stopStarted;
   if (Stopping >= internal::StopWait) {
-    refusePendingPuts("stopping");
+    refusePendingCalls("stopping");
     m_controlServer->refuseIncomplete();
   }
   bool Busy = m_controlServer->busyConnections() > 0;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -13,6 +13,7 @@
 #include "turmericdyke/src/Coordinator/CoordinatorProtocol.h"
 #include "turmericdyke/src/Coordinator/CoordinatorSettings.h"
 #include "turmericdyke/src/Coordinator/ServerCalls.h"
+#include "turmericdyke/src/Coordinator/WithdrawalRecords.h"
 #include "turmericdyke/src/Feed/AnnouncementRelay.h"
 #include "turmericdyke/src/Feed/CoordinatorRoster.h"
 #include "turmericdyke/src/Feed/CrashAttribution.h"
@@ -68,7 +69,7 @@
   /// core from what is on disk.
   void reopenStorage();
   /// Answers the calls whose command has no known outcome.
-  void refusePendingPuts(const std::string &Reason);
+  void refusePendingCalls(const std::string &Reason);
   void processOutput(const ControlOutput &Output);
   void logEvent(const RaftEvent &Value);
   void sendAll(const std::vector<AddressedMessage> &Messages);
@@ -106,6 +107,13 @@
   void handle(const std::shared_ptr<ServerExchange> &, const GetRoutingCall &);
   void handle(const std::shared_ptr<ServerExchange> &, const AnnounceCall &);
   void handle(const std::shared_ptr<ServerExchange> &, const WithdrawCall &);
+  /// Records the withdrawals that have arrived in the replicated state; they
+  /// are acknowledged once they are committed.
+  void submitWithdrawals();
+  void onWithdrawalsDone(std::uint64_t Ticket, bool Committed);
+  void refuseWithdrawals(const std::string &Reason);
+  /// Takes over the withdrawals that the replicated state records.
+  void applyWithdrawals();
   /// Redirects the caller to the leader, or responds with 503 if there is none.
   void redirect(ServerExchange &Exchange);
   /// Takes an announcement as leader, and plans if it is news.
@@ -159,6 +167,13 @@
   void beginStop();
   void pollStop();
 
+  /// A server that waits for the acknowledgement of its withdrawal.
+  struct PendingWithdrawal {
+    ServerIncarnation m_server;
+    std::shared_ptr<ServerExchange> m_exchange;
+    Instant m_received;
+  };
+
   CoordinatorSettings m_settings;
   const CoordinatorProtocol &m_protocol;
   NodeId m_self;
@@ -180,6 +195,12 @@
   std::vector<NodeId> m_loggedVoters;
   /// Put calls that wait for their command to be committed, by ticket.
   std::map<std::uint64_t, std::shared_ptr<ServerExchange>> m_pendingPuts;
+  /// Withdrawals for the next command, and those of submitted commands by
+  /// ticket.
+  std::vector<PendingWithdrawal> m_withdrawals;
+  std::map<std::uint64_t, std::vector<PendingWithdrawal>>
+      m_submittedWithdrawals;
+  EventLoop::Timer m_withdrawalTimer;
   /// The routing document in force on this node, parsed and as text.
   Catalog m_catalog;
   std::string m_document;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -110,6 +110,7 @@
   if (!m_inherited)
     return m_servers.clear();
   m_servers.inherit(Now, m_directoryCopy.servers());
+  applyWithdrawals();
   for (const TargetId &Id : m_servers.unconfirmed(Now, internal::SettleTime))
     probe(Id);
 }
--- a/packages/coordinator/turmericdyke/src/Coordinator/SuspectRecords.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/SuspectRecords.cpp
@@ -58,7 +58,8 @@
                           std::vector<SuspectKey> Suspects) {
   SuspectLists Lists;
   Lists.m_suspects = std::move(Suspects);
-  for (const auto &[Identity, Status] : State.suspects())
+  CustomerId Any{std::string(internal::AnyCustomer)};
+  for (const auto &[Identity, Status] : State.suspectsOf(Any))
     if (std::optional<SuspectKey> Key = internal::keyOf(Identity);
         Key && Status == SuspectState::Refused)
       Lists.m_refused.push_back(*Key);
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
@@ -20,10 +20,15 @@
          std::find(Staged.begin(), Staged.end(), Model) != Staged.end();
 }
 
+bool ServerDirectory::isWithdrawn(const TargetId &Id,
+                                  std::int64_t StartMillis) const {
+  auto Ended = m_withdrawn.find(Id);
+  return Ended != m_withdrawn.end() &&
+         StartMillis <= Ended->second.m_startMillis;
+}
+
 bool ServerDirectory::isStale(const ServerAnnouncement &Value) const {
-  auto Ended = m_withdrawn.find(Value.m_id);
-  if (Ended != m_withdrawn.end() &&
-      Value.m_startMillis <= Ended->second.m_startMillis)
+  if (isWithdrawn(Value.m_id, Value.m_startMillis))
     return true;
   if (const ServerRecord *Known = find(Value.m_id)) {
     const ServerAnnouncement &Announcement = Known->m_announcement;
@@ -77,7 +82,7 @@
 
 bool ServerDirectory::confirm(Instant Now, const ServerHeard &Heard) {
   auto Found = m_servers.find(Heard.m_id);
-  if (Found == m_servers.end() || m_withdrawn.count(Heard.m_id) > 0)
+  if (Found == m_servers.end() || isWithdrawn(Heard.m_id, Heard.m_startMillis))
     return false;
   ServerRecord &Record = Found->second;
   ServerAnnouncement &Announcement = Record.m_announcement;
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -139,6 +139,7 @@
     Instant m_withdrawnAt;
   };
 
+  bool isWithdrawn(const TargetId &Id, std::int64_t StartMillis) const;
   bool isStale(const ServerAnnouncement &Value) const;
   void claimAddress(const ServerAnnouncement &Value);
   void erase(std::map<TargetId, ServerRecord>::iterator At);
