End a coordinator's call with an oversized response

Change: the call ends, its connection is closed, and it counts as unanswered.

Result: "a call to a server ends when its response exceeds the bound" took 4 s, its whole timeout, before (bound 2 s) and passes now.

--- a/packages/coordinator/turmericdyke/src/Coordinator/ServerCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/ServerCalls.cpp
@@ -5,8 +5,8 @@
 namespace internal {
 namespace {
 
-/// Responses to orders and probes have some hundred bytes. Bytes beyond this
-/// limit are dropped, to protect from a faulty server.
+/// Responses to orders and probes have some hundred bytes. A call ends with a
+/// larger one, which may have no end.
 constexpr std::size_t MaxResponseBytes = 64 << 10;
 
 } // namespace
@@ -35,8 +35,11 @@
     return true;
   }
   void onResponseBody(std::string_view Bytes) override {
-    if (m_body.size() + Bytes.size() <= internal::MaxResponseBytes)
-      m_body.append(Bytes);
+    if (m_body.size() + Bytes.size() > internal::MaxResponseBytes) {
+      m_connection->cancel();
+      return m_owner.finish(*this, ServerCallResult());
+    }
+    m_body.append(Bytes);
   }
   void onCallEnd(ClientCallStatus End) override {
     m_reusable = End == ClientCallStatus::Complete;
