Bound the framing of a chunked message

Cause: extensions of chunks and trailers had no bound. A faulty server held an attempt, and took processor time, until the deadline, without a byte of a body.

Change: a message whose framing exceeds 64 KiB and 16 bytes for each byte of its body is malformed, in both directions.

--- a/packages/http/test/HttpReaderTest.cpp
+++ b/packages/http/test/HttpReaderTest.cpp
@@ -109,3 +109,31 @@
   REQUIRE(Fields.lines().size() == 1);
   CHECK(Fields.find("KEEP") == "2");
 }
+
+// Guards against framing without end, which holds a connection and a processor
+// although no byte of a body arrives.
+TEST_CASE("extensions of chunks and trailers have a bound, one-byte chunks "
+          "have none") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  auto Read = [&Head](const std::string &Part) {
+    RecordedEvents Events;
+    HttpReader Reader(HttpReader::Side::Responses, Events);
+    HttpReadStatus Status = readAll(Reader, Head);
+    for (std::size_t Bytes = 0;
+         Bytes < (256 << 10) && Status == HttpReadStatus::NeedsMore;
+         Bytes += Part.size())
+      Status = readAll(Reader, Part);
+    return Status;
+  };
+  CHECK(Read("1;" + std::string(1000, 'e') + "\r\nx\r\n") ==
+        HttpReadStatus::Malformed);
+  CHECK(Read("1\r\nx\r\n") == HttpReadStatus::NeedsMore);
+  RecordedEvents Events;
+  HttpReader Reader(HttpReader::Side::Responses, Events);
+  REQUIRE(readAll(Reader, Head + "1\r\nx\r\n5;") == HttpReadStatus::NeedsMore);
+  HttpReadStatus Status = HttpReadStatus::NeedsMore;
+  for (int At = 0; At < 256 && Status == HttpReadStatus::NeedsMore; ++At)
+    Status = readAll(Reader, std::string(1 << 10, 'e'));
+  CHECK(Status == HttpReadStatus::Malformed);
+}
--- a/packages/http/turmericdyke/src/Http/HttpReader.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -4,6 +4,15 @@
 
 namespace turmericdyke {
 
+namespace internal {
+namespace {
+
+/// A chunk of one byte takes five bytes of framing without an extension.
+constexpr std::size_t MaxFramingPerBodyByte = 16;
+
+} // namespace
+} // namespace internal
+
 /// The callbacks of http_parser. Each returns 0 to continue.
 struct HttpReader::Parser {
   http_parser m_state{};
@@ -37,6 +46,7 @@
     return self(State).headComplete();
   }
   static int onBody(http_parser *State, const char *At, std::size_t Size) {
+    self(State).m_bodyBytes += Size;
     self(State).m_events.onBody({At, Size});
     return 0;
   }
@@ -68,6 +78,8 @@
                    m_side == Side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser->m_state.data = this;
   m_headBytes = 0;
+  m_bodyBytes = 0;
+  m_framingBytes = 0;
   m_started = false;
   m_headDone = false;
   m_ended = false;
@@ -125,7 +137,14 @@
   return m_events.onHead() ? 0 : SkipBody;
 }
 
+bool HttpReader::isFramingTooLarge() const {
+  return m_framingBytes >
+         m_maxHeadBytes + internal::MaxFramingPerBodyByte * m_bodyBytes;
+}
+
 HttpReadStatus HttpReader::feed(std::string_view Bytes, std::size_t &Consumed) {
+  bool HeadWasDone = m_headDone;
+  std::size_t BodyBefore = m_bodyBytes;
   Consumed = http_parser_execute(&m_parser->m_state, &m_parser->m_callbacks,
                                  Bytes.data(), Bytes.size());
   if (!m_headDone) {
@@ -133,7 +152,9 @@
     if (m_headBytes > m_maxHeadBytes)
       return HttpReadStatus::HeadTooLarge;
   }
-  if (m_invalidName)
+  if (HeadWasDone)
+    m_framingBytes += Consumed - (m_bodyBytes - BodyBefore);
+  if (m_invalidName || isFramingTooLarge())
     return HttpReadStatus::Malformed;
   http_errno Error = HTTP_PARSER_ERRNO(&m_parser->m_state);
   if (Error == HPE_HEADER_OVERFLOW)
--- a/packages/http/turmericdyke/src/Http/HttpReader.h
+++ b/packages/http/turmericdyke/src/Http/HttpReader.h
@@ -64,6 +64,7 @@
   friend struct Parser;
 
   void reset();
+  bool isFramingTooLarge() const;
   void flushField();
   int headComplete();
 
@@ -72,6 +73,10 @@
   std::unique_ptr<Parser> m_parser;
   std::size_t m_maxHeadBytes = 64 << 10;
   std::size_t m_headBytes = 0;
+  std::size_t m_bodyBytes = 0;
+  /// Bytes after the head that are no body: sizes and extensions of chunks, and
+  /// trailers.
+  std::size_t m_framingBytes = 0;
   bool m_started = false;
   bool m_headDone = false;
   bool m_ended = false;
