Drop sent bytes of a response while it goes on

Cause: the output buffer of a connection was cleared only when it ran empty. A receiver that is always a little behind a stream made the node hold all of it until the response ended.

--- a/packages/http/test/HttpLoopbackTest.cpp
+++ b/packages/http/test/HttpLoopbackTest.cpp
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <fstream>
+#include <memory>
+#include <string>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -6,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "absl/time/clock.h"
 #include "turmericdyke/Base"
 #include "turmericdyke/Http"
 
@@ -394,3 +399,48 @@
     CHECK(Log.m_end == ClientCallStatus::Malformed);
   }
 }
+
+namespace {
+
+/// Resident memory of this process, in bytes.
+std::size_t residentBytes() {
+  std::ifstream Status("/proc/self/status");
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with("VmRSS:"))
+      return std::stoul(Line.substr(6)) << 10;
+  return 0;
+}
+
+/// Writes so much that the receiver is always behind.
+void writeAhead(EventLoop &Loop, const std::shared_ptr<ServerExchange> &Out) {
+  while (!Out->gone() && Out->unsentBytes() < (1 << 20))
+    Out->write(std::string(64 << 10, 'x'));
+  if (!Out->gone())
+    Loop.after(absl::Milliseconds(1), [&Loop, Out] { writeAhead(Loop, Out); });
+}
+
+} // namespace
+
+// Guards against a stream without end whose receiver is always behind: bytes
+// that were sent must not stay in memory until the response ends.
+TEST_CASE("sent bytes of a response do not stay in memory") {
+  EventLoop *Loop = nullptr;
+  TestServer Server([&Loop](const std::shared_ptr<ServerExchange> &Exchange) {
+    Exchange->start(200, {});
+    writeAhead(*Loop, Exchange);
+  });
+  Loop = &Server.m_loop;
+  std::size_t Before = residentBytes();
+  RawClient Client(Server.m_address);
+  Client.write("GET / HTTP/1.1\r\n\r\n");
+  std::size_t Read = 0;
+  static char Buffer[16 << 10];
+  while (Read < (std::size_t{96} << 20)) {
+    ssize_t Count = recv(Client.m_file, Buffer, sizeof Buffer, 0);
+    REQUIRE(Count > 0);
+    Read += static_cast<std::size_t>(Count);
+    // Slower than the writer.
+    absl::SleepFor(absl::Microseconds(200));
+  }
+  CHECK(residentBytes() < Before + (std::size_t{16} << 20));
+}
--- a/packages/http/turmericdyke/src/Http/ServerConnection.cpp
+++ b/packages/http/turmericdyke/src/Http/ServerConnection.cpp
@@ -164,6 +164,11 @@
     }
     m_sent += static_cast<std::size_t>(Count);
   }
+  // A receiver that is always behind never lets the buffer run empty.
+  if (m_sent >= internal::MinSentToDrop && m_sent >= m_output.size() / 2) {
+    m_output.erase(0, m_sent);
+    m_sent = 0;
+  }
   if (unsentBytes() == 0) {
     m_output.clear();
     m_sent = 0;
