Bound what all attempts of a node hold together

Events without end to a caller that does not read were read on after each pause of 50 ms, whatever the caller had read, and up to 4 MB for each caller waited in the kernel.

Change: BufferBudget, code of its own, gives all bodies and partial events an eighth of the process's memory. Once it is used up, those that hold more than an equal part end and the others complete; the sum is at most twice the budget. A partial event is bounded to 256 KiB. Reading stays paused until the caller has read, and the target is not blamed for the silence meanwhile. The kernel holds 64 KiB of unsent bytes for a caller.

--- a/packages/entry/turmericdyke/src/Entry/EntryAttempt.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryAttempt.cpp
@@ -40,7 +40,7 @@
 EntryAttempt::EntryAttempt(EntryServices &Services, EntryExchange &Owner,
                            AttemptEvents &Events, ServingTarget Destination)
     : m_services(Services), m_destination(std::move(Destination)),
-      m_owner(Owner), m_events(Events) {}
+      m_owner(Owner), m_events(Events), m_buffered(Services.m_buffers) {}
 
 EntryAttempt::~EntryAttempt() = default;
 
@@ -69,11 +69,26 @@
   end(Outcome, false);
 }
 
+void EntryAttempt::abandonEndless() {
+  m_services.m_metrics.increment("turmericdyke_endless_responses_total");
+  LogLine(LogLevel::Warning, "endless_response_ended")
+      .field("request", m_requestId)
+      .field("target", m_destination.m_id)
+      .field("body", m_body.size())
+      .field("buffered", m_services.m_buffers.total());
+  abandon(AttemptOutcome::Lost);
+}
+
 void EntryAttempt::setReading(bool On) {
   if (m_connection)
     m_connection->setReading(On);
 }
 
+void EntryAttempt::onReadingPaused(Instant Now) {
+  m_lastProgress = Now;
+  recordProgress(Now, false);
+}
+
 void EntryAttempt::onEventRelayed(Instant Now) {
   m_lastProgress = Now;
   recordProgress(Now, !std::exchange(m_eventRelayed, true));
@@ -143,8 +158,9 @@
     return;
   if (m_streams)
     return m_events.onStreamBytes(Bytes);
-  if (m_body.size() + Bytes.size() > internal::MaxBufferedResponseBytes)
-    return abandon(AttemptOutcome::Lost);
+  std::size_t Size = m_body.size() + Bytes.size();
+  if (Size > internal::MaxBufferedResponseBytes || !m_buffered.resize(Size))
+    return abandonEndless();
   m_body.append(Bytes);
 }
 
--- a/packages/entry/turmericdyke/src/Entry/EntryAttempt.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryAttempt.h
@@ -10,6 +10,7 @@
 #include "turmericdyke/src/Fleet/FeedMessage.h"
 #include "turmericdyke/src/Http/HttpClientConnection.h"
 #include "turmericdyke/src/Serving/BreakCause.h"
+#include "turmericdyke/src/Serving/BufferBudget.h"
 #include "turmericdyke/src/Serving/RetryDecision.h"
 
 namespace turmericdyke {
@@ -36,8 +37,12 @@
   /// Ends the attempt without waiting for the rest of its response and reports
   /// `Outcome`.
   void abandon(AttemptOutcome Outcome);
+  /// The same for a response that holds too much memory.
+  void abandonEndless();
   /// Pauses and resumes reading, while the caller is slow.
   void setReading(bool On);
+  /// Reading is paused: the other side cannot be blamed for its silence.
+  void onReadingPaused(Instant Now);
   /// A complete event of the stream has been relayed.
   void onEventRelayed(Instant Now);
 
@@ -119,6 +124,7 @@
   HttpResponseHead m_head;
   ResponseInfo m_info;
   std::string m_body;
+  BufferShare m_buffered;
   bool m_headReceived = false;
   bool m_streams = false;
   bool m_invalid = false;
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -23,10 +23,10 @@
 namespace {
 
 /// One event of a stream is held back up to this size. Events hold some tokens.
-constexpr std::size_t MaxEventBytes = 1 << 20;
+constexpr std::size_t MaxEventBytes = 256 << 10;
 /// Reading from the target pauses while the caller has more than this many
 /// unread bytes of a stream.
-constexpr std::size_t MaxUnsentBytes = 256 << 10;
+constexpr std::size_t MaxUnsentBytes = 64 << 10;
 constexpr absl::Duration UnsentPause = absl::Milliseconds(50);
 
 /// A response with so many events has got past its start. A target that crashes
@@ -67,7 +67,8 @@
                              std::shared_ptr<ServerExchange> Exchange,
                              std::optional<RelayedRequest> Relayed)
     : m_services(Services), m_exchange(std::move(Exchange)),
-      m_relayed(std::move(Relayed)), m_routes(Services.m_routes) {
+      m_relayed(std::move(Relayed)), m_routes(Services.m_routes),
+      m_partialEvent(Services.m_buffers) {
   m_services.m_carried += m_relayed ? 1 : 0;
 }
 
@@ -372,8 +373,9 @@
 
 void EntryExchange::onStreamBytes(std::string_view Bytes) {
   std::string Complete = m_events.feed(Bytes);
-  if (m_events.partialBytes() > internal::MaxEventBytes)
-    return m_attempt->abandon(AttemptOutcome::Lost);
+  std::size_t Partial = m_events.partialBytes();
+  if (Partial > internal::MaxEventBytes || !m_partialEvent.resize(Partial))
+    return m_attempt->abandonEndless();
   if (Complete.empty())
     return;
   Instant Now = monotonicNow();
@@ -382,13 +384,24 @@
   if (m_services.m_suspects.active() && hasPastStart())
     m_services.m_suspects.requestProgressed(Now, keys());
   m_exchange->write(Complete);
-  if (m_exchange->unsentBytes() > internal::MaxUnsentBytes && isRunning()) {
-    m_attempt->setReading(false);
-    m_services.m_loop.after(internal::UnsentPause, [Weak = weak_from_this()] {
-      if (auto Self = Weak.lock())
-        Self->m_attempt->setReading(true);
-    });
-  }
+  awaitCaller();
+}
+
+void EntryExchange::awaitCaller() {
+  if (!isRunning())
+    return;
+  bool Behind = m_exchange->unsentBytes() > internal::MaxUnsentBytes;
+  m_attempt->setReading(!Behind);
+  if (!Behind || m_awaitsCaller)
+    return;
+  m_awaitsCaller = true;
+  m_attempt->onReadingPaused(monotonicNow());
+  m_services.m_loop.after(internal::UnsentPause, [Weak = weak_from_this()] {
+    if (auto Self = Weak.lock()) {
+      Self->m_awaitsCaller = false;
+      Self->awaitCaller();
+    }
+  });
 }
 
 bool EntryExchange::completesResponse(const EntryAttempt &Attempt) const {
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -11,6 +11,7 @@
 #include "turmericdyke/src/Entry/EntryProtocol.h"
 #include "turmericdyke/src/Entry/RelayHeader.h"
 #include "turmericdyke/src/Loop/EventLoop.h"
+#include "turmericdyke/src/Serving/BufferBudget.h"
 #include "turmericdyke/src/Serving/EventRelay.h"
 #include "turmericdyke/src/Serving/MoveDecision.h"
 #include "turmericdyke/src/Serving/Placement.h"
@@ -71,6 +72,8 @@
   std::vector<PlacementOption> placementOptions();
   /// What may make this request crash its target; worked out when first asked
   /// for.
+  /// Pauses reading from the target until the caller has read enough.
+  void awaitCaller();
   const std::vector<SuspectKey> &keys();
   bool isRefused();
   /// Reports that the current attempt broke off as if its target had crashed.
@@ -165,6 +168,9 @@
   // The response to the caller.
   bool m_relaying = false;
   EventRelay m_events;
+  BufferShare m_partialEvent;
+  /// A check whether the caller has read enough is due.
+  bool m_awaitsCaller = false;
   Instant m_firstByte = absl::InfiniteFuture();
 };
 
--- a/packages/entry/turmericdyke/src/Entry/EntryServices.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -16,6 +16,7 @@
 #include "turmericdyke/src/Feed/SuspectWatch.h"
 #include "turmericdyke/src/Http/HttpClientPool.h"
 #include "turmericdyke/src/Loop/EventLoop.h"
+#include "turmericdyke/src/Serving/BufferBudget.h"
 #include "turmericdyke/src/Serving/Placement.h"
 #include "turmericdyke/src/Serving/RetryAfter.h"
 #include "turmericdyke/src/Serving/RunTimes.h"
@@ -59,6 +60,9 @@
   RunTimes m_runTimes;
   StopSchedule m_stop;
   Instant m_started = monotonicNow();
+  /// An eighth of the memory; the sum may reach twice that, and responses are
+  /// copied once while they are passed on.
+  BufferBudget m_buffers{m_settings.m_maxMemory / 8};
   PlacementOptions m_placement;
   std::map<ServiceId, SharedRetryBudget> m_retryBudgets;
   /// Requests of this node at each target.
--- a/packages/entry/turmericdyke/src/Entry/EntrySettings.h
+++ b/packages/entry/turmericdyke/src/Entry/EntrySettings.h
@@ -31,6 +31,8 @@
   absl::Duration m_stopGrace = absl::Seconds(8);
   /// Limit of the process's open descriptors.
   std::size_t m_maxDescriptors = 4096;
+  /// Memory that the process may use, in bytes.
+  std::size_t m_maxMemory = std::size_t{256} << 20;
   SharedRetryBudgetOptions m_retryBudget;
 };
 
--- a/packages/http/turmericdyke/src/Http/ServerConnection.cpp
+++ b/packages/http/turmericdyke/src/Http/ServerConnection.cpp
@@ -17,6 +17,12 @@
 /// Maximum number of bytes of pipelined requests that are buffered while one is
 /// processed.
 constexpr std::size_t MaxInputBytes = 256 << 10;
+/// Further bytes stay in the output buffer, whose size the writer of a response
+/// sees.
+constexpr int MaxUnsentInKernel = 64 << 10;
+/// Sent bytes are dropped from the output buffer in pieces of at least this
+/// size.
+constexpr std::size_t MinSentToDrop = 16 << 10;
 /// How long a caller may go on sending after the last response.
 constexpr absl::Duration LingerTime = absl::Seconds(1);
 
@@ -28,6 +34,7 @@
     : m_server(Server), m_id(Id), m_socket(std::move(Socket)),
       m_reader(HttpReader::Side::Requests, *this), m_lastRead(monotonicNow()) {
   internal::limitSilence(m_socket, Server.m_limits.m_unresponsiveTimeout);
+  internal::limitUnsent(m_socket, internal::MaxUnsentInKernel);
 }
 
 ServerConnection::~ServerConnection() { close(); }
--- a/packages/loop/turmericdyke/src/Loop/Sockets.cpp
+++ b/packages/loop/turmericdyke/src/Loop/Sockets.cpp
@@ -132,6 +132,11 @@
              sizeof KeepAliveProbes);
 }
 
+void limitUnsent(const Descriptor &Socket, int Bytes) {
+  setsockopt(Socket.get(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &Bytes,
+             sizeof Bytes);
+}
+
 int pendingError(const Descriptor &Socket) {
   int Code = 0;
   socklen_t Size = sizeof Code;
--- a/packages/loop/turmericdyke/src/Loop/Sockets.h
+++ b/packages/loop/turmericdyke/src/Loop/Sockets.h
@@ -52,6 +52,9 @@
 /// Without this a connection to a host that lost power hangs for minutes.
 void limitSilence(const Descriptor &Socket, absl::Duration Limit);
 
+/// Bounds the bytes that the kernel holds for a peer that does not read.
+void limitUnsent(const Descriptor &Socket, int Bytes);
+
 /// The error code of the last failed operation on the socket; 0 if there is
 /// none.
 int pendingError(const Descriptor &Socket);
