--- a/packages/coordinator/test/WithdrawalRecordsTest.cpp
+++ b/packages/coordinator/test/WithdrawalRecordsTest.cpp
@@ -56,6 +56,7 @@
 // that make the command unreadable: it would be committed and then ignored.
 TEST_CASE("a command holds many withdrawals, whatever the identifiers") {
   std::vector<ServerIncarnation> Servers;
+  Servers.reserve(1024);
   for (int At = 0; At < 1024; ++At)
     Servers.push_back({TargetId(std::string(200, 'x') + std::to_string(At)),
                        1'800'000'000'000});
--- a/packages/serving/test/BufferBudgetTest.cpp
+++ b/packages/serving/test/BufferBudgetTest.cpp
@@ -17,6 +17,7 @@
   constexpr std::size_t Large = 20'000;
   BufferBudget Budget(Limit);
   std::vector<std::unique_ptr<BufferShare>> Faulty;
+  Faulty.reserve(50);
   for (int At = 0; At < 50; ++At)
     Faulty.push_back(std::make_unique<BufferShare>(Budget));
   std::vector<std::size_t> Held(Faulty.size(), 0);
