--- a/packages/entry/turmericdyke/src/Entry/EntryAttempt.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryAttempt.h
@@ -37,7 +37,7 @@
   /// Ends the attempt without waiting for the rest of its response and reports
   /// `Outcome`.
   void abandon(AttemptOutcome Outcome);
-  /// The same for a response that holds too much memory.
+  /// Ends the attempt because its response holds too much memory.
   void abandonEndless();
   /// Pauses and resumes reading, while the caller is slow.
   void setReading(bool On);
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -72,10 +72,10 @@
   std::vector<PlacementOption> placementOptions();
   /// What may make this request crash its target; worked out when first asked
   /// for.
-  /// Pauses reading from the target until the caller has read enough.
-  void awaitCaller();
   const std::vector<SuspectKey> &keys();
   bool isRefused();
+  /// Pauses reading from the target until the caller has read enough.
+  void awaitCaller();
   /// Reports that the current attempt broke off as if its target had crashed.
   void reportCrash();
   /// Whether an attempt that begins now can be expected to end before this node
--- a/packages/entry/turmericdyke/src/Entry/EntryServices.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -60,8 +60,8 @@
   RunTimes m_runTimes;
   StopSchedule m_stop;
   Instant m_started = monotonicNow();
-  /// An eighth of the memory; the sum may reach twice that, and responses are
-  /// copied once while they are passed on.
+  /// What attempts hold back: an eighth of the memory. The sum may reach twice
+  /// that, and responses are copied once while they are passed on.
   BufferBudget m_buffers{m_settings.m_maxMemory / 8};
   PlacementOptions m_placement;
   std::map<ServiceId, SharedRetryBudget> m_retryBudgets;
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -139,6 +139,7 @@
     Instant m_withdrawnAt;
   };
 
+  /// Whether this incarnation of the server, or a later one, has withdrawn.
   bool isWithdrawn(const TargetId &Id, std::int64_t StartMillis) const;
   bool isStale(const ServerAnnouncement &Value) const;
   void claimAddress(const ServerAnnouncement &Value);
