--- a/packages/serving/turmericdyke/src/Serving/Placement.h
+++ b/packages/serving/turmericdyke/src/Serving/Placement.h
@@ -20,6 +20,9 @@
   /// Requests of the other nodes at the target, as last reported.
   std::int64_t m_otherRequests = 0;
   absl::Duration m_otherRequestsAge = absl::ZeroDuration();
+  /// Mean time from sending a request to the target to its end; zero if
+  /// unknown.
+  absl::Duration m_meanRunTime = absl::ZeroDuration();
   /// It takes no request from this node now, by its own statement.
   bool m_closed = false;
   /// Failed lately; used only if nothing else is left.
@@ -33,6 +36,22 @@
   /// Requests that may queue at a target per slot. Requests beyond the slots
   /// queue at the target, where they can no longer move to another one.
   double m_waitingPerSlot = 0.25;
+  /// Mean age of the other nodes' counts when their sum arrives here: half the
+  /// interval of 250 ms between a node's reports, and the way through two
+  /// relays that exchange sums every 50 ms.
+  absl::Duration m_reportDelay = absl::Milliseconds(200);
+  /// Run time of requests if none has completed yet.
+  absl::Duration m_defaultRunTime = absl::Seconds(1);
+  /// Differences between targets are levelled out by the arrivals of this many
+  /// times the age of the reports. With 1, all nodes answer each difference in
+  /// full until a report shows the answer, which overshoots: bursts of prompts
+  /// then wait for each other at one target.
+  double m_levelingAges = 3;
+  /// Targets drawn by what they lack; of these the one with the fewest requests
+  /// of this node per slot is chosen. A node's own counts have no delay, so
+  /// this evens out what the draws leave uneven, the more the larger the
+  /// node's part of the load is.
+  std::size_t m_draws = 8;
 };
 
 enum class PlacementOutcome {
@@ -52,10 +71,17 @@
   /// Load of the chosen target, or of the least loaded one, in requests per
   /// slot.
   double m_load = 0;
+  /// Estimated present load of the least loaded targets, in requests per slot,
+  /// and the number of requests that all nodes have placed since the reports.
+  double m_level = 0;
+  double m_arrivals = 0;
 };
 
-/// Chooses the target for one request. Several nodes decide independently, each
+/// Chooses the target for one request. Many nodes decide independently, each
 /// with an exact count of its own requests and a delayed count of the others'.
+/// Each target is drawn with a probability in proportion to what it lacks (see
+/// `interpretLoad`), so that nodes that see the same reports do not all choose
+/// the same target.
 PlacementDecision place(absl::Span<const PlacementOption> Options,
                         const PlacementOptions &Settings,
                         absl::BitGenRef Random);
