--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -152,12 +152,29 @@
   return Parts.back().m_service;
 }
 
+absl::Duration EntryExchange::meanRunTime() const {
+  absl::Duration Measured =
+      m_services.m_runTimes.mean(m_service, m_caller.m_model);
+  if (Measured > absl::ZeroDuration())
+    return Measured;
+  const ServiceEntry *Service = m_routes->catalog().service(m_service);
+  const EngineModel *Model = Service != nullptr && Service->m_engine
+                                 ? Service->m_engine->model(m_caller.m_model)
+                                 : nullptr;
+  return Model == nullptr
+             ? absl::ZeroDuration()
+             : expectedRunTime(*Service->m_engine, *Model,
+                               Service->m_engine->m_typicalPromptTokens,
+                               Service->m_engine->m_typicalOutputTokens);
+}
+
 std::vector<PlacementOption> EntryExchange::placementOptions() {
   Instant Now = monotonicNow();
   bool Engines = m_routes->catalog().service(m_service)->m_engine.has_value();
   std::vector<PlacementOption> Options;
   Instant Reopens = absl::InfiniteFuture();
   m_services.m_signals.setNodes(m_services.m_feed.possibleEntryNodes());
+  absl::Duration RunTime = meanRunTime();
   for (const auto &[Id, Target] : m_services.m_feed.targets()) {
     if (Target.m_service != m_service ||
         (Engines && Target.m_model != m_caller.m_model) ||
@@ -174,6 +191,7 @@
     Option.m_ownRequests = Used == m_services.m_uses.end() ? 0 : Used->second;
     Option.m_otherRequests = m_services.m_feed.requestsOfOthers(Id);
     Option.m_otherRequestsAge = Now - m_services.m_feed.othersUpdatedAt();
+    Option.m_meanRunTime = RunTime;
     Option.m_closed = NextUse > Now;
     Option.m_avoided = m_services.m_health.isAvoided(Now, Id);
     Option.m_quiet = m_services.m_stalls.isQuiet(Now, Id);
@@ -671,6 +689,8 @@
              std::count_if(Options.begin(), Options.end(),
                            [](const auto &Option) { return Option.m_closed; }))
       .field("least_load", Decision.m_load)
+      .field("level", Decision.m_level)
+      .field("arrivals", Decision.m_arrivals)
       .field("attempts", m_attempts)
       .field("feed_term", m_services.m_feed.term())
       .field("others_age_ms",
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -67,6 +67,9 @@
   /// Checks lease, route and key. Returns the refusal, if any.
   std::optional<Refusal> admit();
   ServiceId chooseService();
+  /// Mean run time of requests for the model, as measured by this node, or at
+  /// published costs until one has completed. Zero if unknown.
+  absl::Duration meanRunTime() const;
   /// The targets of the service. If all of them have stated that they take no
   /// request now, `m_reopens` is when the first one takes one again.
   std::vector<PlacementOption> placementOptions();
