--- a/packages/control/test/CommandTest.cpp
+++ b/packages/control/test/CommandTest.cpp
@@ -38,7 +38,8 @@
           BeginSuspectRun{{Acme, Binary}, NodeId("n"), 3},
           EndSuspectRun{{Acme, Binary}, NodeId("n"), 3},
           Tick{Time},
-          SetLimits{{absl::Hours(1), 7, 8}}};
+          SetLimits{{absl::Hours(1), 7, 8}},
+          SetEvacuation{FailureDomainId("north"), true}};
 }
 
 } // namespace
--- a/packages/control/turmericdyke/src/Control/Command.cpp
+++ b/packages/control/turmericdyke/src/Control/Command.cpp
@@ -163,6 +163,11 @@
           {"document", bytesJson(Value.m_document)}};
 }
 
+nlohmann::json body(const SetEvacuation &Value) {
+  return {{"failure_domain", Value.m_failureDomain.str()},
+          {"evacuated", Value.m_evacuated}};
+}
+
 void readBytes(JsonReader &Reader, const nlohmann::json &Object,
                const char *Field, std::string &Value, std::size_t MaxBytes) {
   auto Found = Object.is_object() ? Object.find(Field) : Object.end();
@@ -347,6 +352,11 @@
     Reader.fail("version", "is not above 0");
 }
 
+void read(JsonReader &Reader, const nlohmann::json &, SetEvacuation &Value) {
+  Reader.id("failure_domain", Value.m_failureDomain, true)
+      .flag("evacuated", Value.m_evacuated);
+}
+
 template <class T>
 Result<Command, ControlError> readCommand(const nlohmann::json &Object) {
   T Value;
@@ -382,6 +392,7 @@
     {"tick", readCommand<Tick>},
     {"set_limits", readCommand<SetLimits>},
     {"set_routing", readCommand<SetRouting>},
+    {"set_evacuation", readCommand<SetEvacuation>},
 };
 static_assert(std::size(CommandKinds) + 1 == std::variant_size_v<Command>);
 
--- a/packages/control/turmericdyke/src/Control/Command.h
+++ b/packages/control/turmericdyke/src/Control/Command.h
@@ -196,6 +196,16 @@
   friend bool operator==(const SetRouting &, const SetRouting &) = default;
 };
 
+/// Starts or ends the evacuation of a failure domain: while it is in force,
+/// nothing more is sent to the servers there.
+struct SetEvacuation {
+  FailureDomainId m_failureDomain;
+  bool m_evacuated = false;
+
+  friend bool operator==(const SetEvacuation &,
+                         const SetEvacuation &) = default;
+};
+
 /// A command of a newer version, which this version ignores.
 struct UnknownCommand {
   std::string m_kind;
@@ -209,7 +219,7 @@
                  RemoveAssignment, AcceptBuild, ReleaseHost,
                  ReserveFencingTokens, BeginOnceOnly, FinishOnceOnly, NodeLost,
                  MarkSuspects, ClearSuspect, BeginSuspectRun, EndSuspectRun,
-                 Tick, SetLimits, SetRouting>;
+                 Tick, SetLimits, SetRouting, SetEvacuation>;
 
 /// Converts an assignment change to a command.
 Command toCommand(AssignmentChange Change);
--- a/packages/control/turmericdyke/src/Control/ControlState.cpp
+++ b/packages/control/turmericdyke/src/Control/ControlState.cpp
@@ -148,6 +148,11 @@
   return SetRoutingResult{m_routing.m_version, Replaces};
 }
 
+CommandResult ControlState::applyTo(const SetEvacuation &Value) {
+  m_evacuations.apply(Value, m_appliedIndex);
+  return CommandApplied{};
+}
+
 std::string ControlState::snapshot() const {
   nlohmann::json Object = {
       {"format", internal::SnapshotFormat},
@@ -162,6 +167,7 @@
       {"assignments", m_assignments.toJson()},
       {"once_only", m_onceOnly.toJson()},
       {"suspects", m_suspects.toJson()},
+      {"evacuations", m_evacuations.toJson()},
       {"routing_version", m_routing.m_version},
       {"routing_document",
        nlohmann::json::binary(
@@ -193,6 +199,9 @@
       const auto &Document = Object.at("routing_document").get_binary();
       State.m_routing.m_document.assign(Document.begin(), Document.end());
     }
+    // Absent in snapshots of versions without evacuations.
+    if (Object.contains("evacuations"))
+      State.m_evacuations.readJson(Object.at("evacuations"));
     State.m_suspects.readJson(Object.at("suspects"));
     if (!State.m_changes.readJson(Object.at("changes")))
       return failure(ControlError{"/changes", "holds a wrong declaration"});
--- a/packages/control/turmericdyke/src/Control/ControlState.h
+++ b/packages/control/turmericdyke/src/Control/ControlState.h
@@ -10,6 +10,7 @@
 #include "turmericdyke/src/Control/AssignmentTable.h"
 #include "turmericdyke/src/Control/ChangeLog.h"
 #include "turmericdyke/src/Control/CommandResult.h"
+#include "turmericdyke/src/Control/EvacuationTable.h"
 #include "turmericdyke/src/Control/OnceOnlyTable.h"
 #include "turmericdyke/src/Control/SuspectTable.h"
 
@@ -88,6 +89,11 @@
   /// The current routing document; version 0 before the first one.
   const SetRouting &routing() const { return m_routing; }
 
+  /// The failure domains that are or were evacuated.
+  const std::map<FailureDomainId, EvacuationRecord> &evacuations() const {
+    return m_evacuations.all();
+  }
+
   /// Null if there is none.
   std::shared_ptr<const Assignment> assignment(const ReplicaId &Id) const {
     return m_assignments.find(Id);
@@ -165,6 +171,7 @@
   CommandResult applyTo(const Tick &Value);
   CommandResult applyTo(const SetLimits &Value);
   CommandResult applyTo(const SetRouting &Value);
+  CommandResult applyTo(const SetEvacuation &Value);
 
   std::uint64_t m_appliedIndex = 0;
   absl::Time m_logTime = absl::UnixEpoch();
@@ -176,6 +183,7 @@
   internal::AssignmentTable m_assignments;
   internal::OnceOnlyTable m_onceOnly;
   internal::SuspectTable m_suspects;
+  internal::EvacuationTable m_evacuations;
 };
 
 } // namespace turmericdyke
