--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include "turmericdyke/src/Groups/EvacuatedDomains.h"
+
 namespace turmericdyke {
 
 namespace internal {
@@ -404,10 +406,21 @@
   return InGroups;
 }
 
+bool GroupPlanner::mayUse(const ServerRecord &Server) const {
+  return m_input->m_evacuated == nullptr ||
+         m_input->m_evacuated->mayUse(Server.m_announcement);
+}
+
+bool GroupPlanner::isEvacuated(const Group &G) const {
+  const ServerRecord *Head = m_input->m_servers->find(G.head());
+  return Head != nullptr && !mayUse(*Head);
+}
+
 bool GroupPlanner::isFree(const ServerRecord &Server,
                           const ServersInGroups &InGroups) const {
   const ServerAnnouncement &Announcement = Server.m_announcement;
-  if (Announcement.m_draining || Server.isLost(m_now, m_options.m_lostAfter))
+  if (Announcement.m_draining || Server.isLost(m_now, m_options.m_lostAfter) ||
+      !mayUse(Server))
     return false;
   if (InGroups.count({Announcement.m_id, Announcement.m_startMillis}) > 0)
     return false;
@@ -435,7 +448,7 @@
     const EngineModel *Model = G.m_service == Service.m_id
                                    ? Service.m_engine->model(G.m_model)
                                    : nullptr;
-    if (Model != nullptr && G.m_phase <= GroupPhase::Serving)
+    if (Model != nullptr && G.m_phase <= GroupPhase::Serving && !isEvacuated(G))
       Balance.add(*Model, G.m_members.size());
   }
   for (const auto &[Domain, Reserved] : m_reserved)
@@ -475,7 +488,8 @@
                    });
   for (const Group *G : Serving)
     for (const Member &M : G->m_members)
-      if (const ServerRecord *Server = liveMember(*G, M))
+      if (const ServerRecord *Server = liveMember(*G, M);
+          Server != nullptr && mayUse(*Server))
         Input.m_serving.push_back(Server);
   for (const StagingOrder &Fetch : m_stager.planFetches(m_now, Input)) {
     GroupOrder Order;
@@ -495,7 +509,7 @@
     return false;
   std::size_t Servers = 0;
   for (const auto &[Id, Server] : m_input->m_servers->all())
-    if (Server.m_announcement.m_service == Service.m_id)
+    if (Server.m_announcement.m_service == Service.m_id && mayUse(Server))
       ++Servers;
   std::size_t Remaining = 0;
   for (const auto &[Domain, Members] : Free)
@@ -512,7 +526,7 @@
   for (auto &[Epoch, G] : m_groups) {
     const ServerRecord *Head = m_input->m_servers->find(G.head());
     if (G.m_phase == GroupPhase::Serving && G.m_service == Service.m_id &&
-        Head != nullptr)
+        Head != nullptr && mayUse(*Head))
       Serving[Head->m_announcement.m_fabricDomain].push_back(&G);
   }
   return Serving;
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -16,6 +16,8 @@
 
 namespace turmericdyke {
 
+class EvacuatedDomains;
+
 enum class GroupOrderKind { Join, Open, Close, Leave, Stage };
 
 std::string_view nameOf(GroupOrderKind Kind);
@@ -106,6 +108,8 @@
 struct GroupPlannerInput {
   const ServerDirectory *m_servers = nullptr;
   const Catalog *m_catalog = nullptr;
+  /// The failure domains whose servers may not be used; null for none.
+  const EvacuatedDomains *m_evacuated = nullptr;
   /// When each head last sent events to callers, as reported by entry nodes. A
   /// group that has lost a member sends no events.
   std::map<TargetId, Instant> m_progress;
@@ -200,6 +204,11 @@
   /// dissolved.
   using ServersInGroups = std::set<std::pair<TargetId, std::int64_t>>;
   ServersInGroups serversInGroups() const;
+  /// Whether the server is in no evacuated failure domain.
+  bool mayUse(const ServerRecord &Server) const;
+  /// Whether the head is in an evacuated failure domain. The group stays as it
+  /// is, but it neither serves nor gives up its servers to another group.
+  bool isEvacuated(const Group &G) const;
   bool isFree(const ServerRecord &Server,
               const ServersInGroups &InGroups) const;
   FreeServers freeServers(const ServiceId &Service) const;
