--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -397,6 +397,8 @@
     m_services->m_stalls.closedToNew(Ended);
     notifyRequests(Ended, &EntryExchange::onTargetClosing);
   }
+  for (const TargetId &Listed : Change.m_listed)
+    m_services->m_stalls.openedToNew(Listed);
   if (Change.m_suspects)
     applySuspects(*Change.m_suspects);
   if (Change.m_limits)
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -192,7 +192,9 @@
   for (const ServingTarget &Target : Update.m_targets) {
     ServingTarget &Known = m_targets[Target.m_id];
     if (!(Known == Target)) {
-      if (!Known.m_id.empty() && Known.m_generation != Target.m_generation)
+      if (Known.m_id.empty())
+        Change.m_listed.push_back(Target.m_id);
+      else if (Known.m_generation != Target.m_generation)
         Change.m_ended.push_back(Target.m_id);
       Known = Target;
       Change.m_targetsChanged = true;
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -36,6 +36,8 @@
 struct FeedChange {
   /// Targets that accept no new requests any more.
   std::vector<TargetId> m_ended;
+  /// Targets that accept new requests and did not before, or were not known.
+  std::vector<TargetId> m_listed;
   bool m_targetsChanged = false;
   /// A newer routing document. Empty although its version is set if it could
   /// not be decompressed.
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -30,7 +30,8 @@
 
 void FeedPublisher::reset() { *this = FeedPublisher(); }
 
-void FeedPublisher::setTargets(absl::Span<const ServingTarget> Targets) {
+void FeedPublisher::setTargets(absl::Span<const ServingTarget> Targets,
+                               absl::Span<const TargetId> Closed) {
   std::set<TargetId> Present;
   std::uint64_t Next = m_sequence + 1;
   bool Changed = false;
@@ -49,6 +50,9 @@
       Ended.push_back(Id);
   for (const TargetId &Id : Ended)
     removeTarget(Id, Next);
+  for (const TargetId &Id : Closed)
+    if (Present.count(Id) == 0 && m_removed.try_emplace(Id, Next).second)
+      Changed = true;
   if (Changed || !Ended.empty())
     m_sequence = Next;
   limitRemovals();
@@ -181,8 +185,10 @@
   for (const auto &[Id, Entry] : m_targets)
     if (Entry.m_sequence > From)
       Update.m_targets.push_back(Entry.m_target);
+  // A node that holds nothing of this term may hold the targets of an earlier
+  // one.
   for (const auto &[Id, Sequence] : m_removed)
-    if (Sequence > From && From > 0)
+    if (Sequence > From)
       Update.m_removed.push_back(Id);
 }
 
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
@@ -60,8 +60,11 @@
   void reset();
 
   /// Replaces the list of targets and assigns a new sequence number to what
-  /// changed.
-  void setTargets(absl::Span<const ServingTarget> Targets);
+  /// changed. Targets of `Closed` may be in use since an earlier term: entry
+  /// nodes are told at once that these have ended, and not only when this
+  /// leader knows all targets.
+  void setTargets(absl::Span<const ServingTarget> Targets,
+                  absl::Span<const TargetId> Closed = {});
 
   /// Takes over the targets of an update from the leader. Returns whether
   /// anything changed. An update that does not continue the held state is
--- a/packages/serving/test/ServingTest.cpp
+++ b/packages/serving/test/ServingTest.cpp
@@ -282,6 +282,20 @@
   CHECK(Stalls[0].m_abandon);
 }
 
+// Guards against streams that leave a sound target while it reads their
+// prompts, because it was closed to new requests earlier and its old streams
+// have not ended since.
+TEST_CASE("a target that is open to new requests again may read prompts") {
+  StallDetector Detector;
+  TargetId Id("a");
+  Detector.streamStarted(Start, Id, absl::Seconds(2));
+  Detector.closedToNew(Id);
+  Detector.openedToNew(Id);
+  CHECK(Detector.stalled(Start + absl::Seconds(1)).empty());
+  Detector.closedToNew(Id);
+  CHECK_FALSE(Detector.stalled(Start + absl::Seconds(1)).empty());
+}
+
 // Guards against callers that retry before a restarted system can serve them,
 // and then give up.
 TEST_CASE("after a start callers retry when the system has recovered") {
--- a/packages/serving/turmericdyke/src/Serving/StallDetector.cpp
+++ b/packages/serving/turmericdyke/src/Serving/StallDetector.cpp
@@ -64,6 +64,12 @@
     Found->second.m_closedToNew = true;
 }
 
+void StallDetector::openedToNew(const TargetId &Target) {
+  auto Found = m_targets.find(Target);
+  if (Found != m_targets.end())
+    Found->second.m_closedToNew = false;
+}
+
 bool StallDetector::mayAbandon(Instant Now, const TargetState &State) const {
   if (!State.m_closedToNew && isReading(Now, State))
     return false;
--- a/packages/serving/turmericdyke/src/Serving/StallDetector.h
+++ b/packages/serving/turmericdyke/src/Serving/StallDetector.h
@@ -49,6 +49,8 @@
   void streamProgressed(Instant Now, const TargetId &Target, bool First);
   /// The target accepts no new requests any more.
   void closedToNew(const TargetId &Target);
+  /// The target accepts new requests again.
+  void openedToNew(const TargetId &Target);
   /// A stream has ended. `Flowing` is set if it had sent data.
   void streamEnded(const TargetId &Target, bool Flowing);
   /// Whether new requests should prefer other targets.
