--- a/packages/ctl/app/Main.cpp
+++ b/packages/ctl/app/Main.cpp
@@ -45,6 +45,12 @@
   status [SECTION]  nodes, targets, replicas, customers, or all of them
   drain NAME        give no new work to a target or to the targets of a host
   undrain NAME      end a drain
+  evacuation start NAME
+                    send nothing more to the servers of a failure domain
+                    (--nodes: control addresses of the coordinators)
+  evacuation end NAME
+                    use the servers of the failure domain again
+  evacuation list   the failure domains, and what still runs there
   wait              wait until every node has --revision
   hash_key          read a key from standard input, print its salted hash
   check FILES...    check declaration files without contacting a node
--- a/packages/ctl/test/CommandRunnerTest.cpp
+++ b/packages/ctl/test/CommandRunnerTest.cpp
@@ -357,6 +357,70 @@
   CHECK(Sent[0]["change_id"] != Sent[1]["change_id"]);
 }
 
+// Guards against an order that is reported as refused although it may be in
+// force, and against one that a follower's redirection loses.
+TEST_CASE("evacuation start and end send the order to the leader until its "
+          "outcome is certain") {
+  CtlFixture F;
+  FakeNode Leader;
+  Leader.set("POST /v1/evacuations",
+             {loseAnswer(), answer(503, {{"error", "no leader is known"}}),
+              answer(200, {{"result", "accepted"}})});
+  F.m_node.set("POST /v1/evacuations", {[&](httplib::Response &Out) {
+                 Out.status = 307;
+                 Out.set_header("Location", "http://" + Leader.address() +
+                                                "/v1/evacuations");
+               }});
+  CHECK(F.run({"evacuation", "start", "z1"}) == ExitCode::Ok);
+  CHECK(F.m_out == "accepted\n");
+  for (const json &Sent : Leader.posted())
+    CHECK(Sent == json({{"failure_domain", "z1"}, {"evacuated", true}}));
+  CHECK(Leader.posted().size() == 3);
+  CHECK(F.run({"evacuation", "end", "z1"}) == ExitCode::Ok);
+  CHECK(Leader.posted().back()["evacuated"] == false);
+  Leader.set("POST /v1/evacuations",
+             {answer(503, {{"error", "not known to be in force"}})});
+  F.m_options.m_retries = 1;
+  CHECK(F.run({"evacuation", "start", "z1"}) == ExitCode::AnswerLost);
+  CHECK(F.errorContains("may be in force"));
+  CHECK(F.errorContains("not known to be in force"));
+}
+
+TEST_CASE("evacuation names the mistake in a wrong order") {
+  CtlFixture F;
+  F.m_node.set("POST /v1/evacuations",
+               {answer(404, {{"error", "no failure domain z9 is known"}})});
+  CHECK(F.run({"evacuation", "start", "z9"}) == ExitCode::Refused);
+  CHECK(F.errorContains("no failure domain z9 is known"));
+  F.m_options.m_nodes = {F.m_closed.address()};
+  CHECK(F.run({"evacuation", "end", "z1"}) == ExitCode::Unreachable);
+  CHECK(F.run({"evacuation", "list"}) == ExitCode::Unreachable);
+  CHECK(F.run({"evacuation"}) == ExitCode::UsageError);
+  CHECK(F.run({"evacuation", "stop", "z1"}) == ExitCode::UsageError);
+  CHECK(F.errorContains("allowed: start, end, list"));
+  CHECK(F.run({"evacuation", "start"}) == ExitCode::UsageError);
+  CHECK(F.errorContains("needs the name"));
+  CHECK(F.run({"evacuation", "start", ""}) == ExitCode::UsageError);
+  CHECK(F.run({"evacuation", "list", "z1"}) == ExitCode::UsageError);
+}
+
+TEST_CASE("evacuation list shows what still runs in each failure domain") {
+  CtlFixture F;
+  const json Answer = {{"failure_domains",
+                        {{{"failure_domain", "z1"},
+                          {"evacuated", true},
+                          {"servers", 57},
+                          {"targets", 7},
+                          {"requests", 31}}}}};
+  F.m_node.set("GET /v1/evacuations", {answer(200, Answer)});
+  CHECK(F.run({"evacuation", "list"}) == ExitCode::Ok);
+  for (const char *Text : {"failure_domain", "z1", "true", "57", "31"})
+    CHECK(F.m_out.find(Text) != std::string::npos);
+  F.m_options.m_json = true;
+  CHECK(F.run({"evacuation", "list"}) == ExitCode::Ok);
+  CHECK(json::parse(F.m_out) == Answer);
+}
+
 TEST_CASE("the output of get can be checked and applied as a file") {
   CtlFixture F;
   F.m_node.set(
--- a/packages/ctl/turmericdyke/src/Ctl/CommandRunner.cpp
+++ b/packages/ctl/turmericdyke/src/Ctl/CommandRunner.cpp
@@ -88,6 +88,13 @@
   return State != "dead" && State != "left";
 }
 
+/// The reason that a coordinator states in an error answer, for the end of a
+/// message; empty if it states none.
+std::string statedReason(const Json &Body) {
+  std::string Reason = textField(Body, "error");
+  return Reason.empty() ? Reason : " (" + cellText(Reason) + ")";
+}
+
 /// Splits the nodes of a status answer by whether they have reached `Revision`.
 struct NodeProgress {
   std::vector<std::string> m_behind;
@@ -140,6 +147,7 @@
     {"check", 1, UnlimitedArguments, false, &CommandRunner::check},
     {"diff", 1, UnlimitedArguments, true, &CommandRunner::diff},
     {"drain", 1, 1, true, &CommandRunner::drain},
+    {"evacuation", 1, 2, true, &CommandRunner::evacuation},
     {"get", 0, 0, true, &CommandRunner::get},
     {"hash_key", 0, 0, false, &CommandRunner::hashKey},
     {"history", 0, 0, true, &CommandRunner::history},
@@ -246,6 +254,56 @@
   return setDrained(Names[0], false);
 }
 
+ExitCode CommandRunner::evacuation(Arguments Verb) {
+  bool Lists = Verb[0] == "list";
+  bool Starts = Verb[0] == "start";
+  if (!Lists && !Starts && Verb[0] != "end")
+    return fail(ExitCode::UsageError,
+                fmt::format("unknown verb {}; allowed: start, end, list",
+                            internal::cellText(Verb[0])));
+  if (Lists != (Verb.size() == 1) || Verb.back().empty())
+    return fail(ExitCode::UsageError,
+                Lists ? "evacuation list takes no name"
+                      : fmt::format("evacuation {} needs the name of a "
+                                    "failure domain",
+                                    Verb[0]));
+  return Lists ? listEvacuations() : setEvacuated(Verb[1], Starts);
+}
+
+ExitCode CommandRunner::setEvacuated(const std::string &FailureDomain,
+                                     bool Evacuated) {
+  // Sending the order again is harmless, so it needs no change identifier.
+  OperatorAnswer Answer =
+      m_client.change("/v1/evacuations", {{"failure_domain", FailureDomain},
+                                          {"evacuated", Evacuated}});
+  if (Answer.m_outcome == SendOutcome::Answered && Answer.m_status == 404) {
+    if (Answer.m_body.is_object())
+      print(Answer.m_body, "");
+    return fail(ExitCode::Refused,
+                fmt::format("refused: {}{}; see evacuation list",
+                            Answer.m_detail,
+                            internal::statedReason(Answer.m_body)));
+  }
+  if (Answer.m_outcome == SendOutcome::Lost)
+    return fail(
+        ExitCode::AnswerLost,
+        fmt::format("no certain answer; the order may be in force. Give it "
+                    "again, or see evacuation list: {}{}",
+                    Answer.m_detail, internal::statedReason(Answer.m_body)));
+  return reportChange(Answer, "the same arguments");
+}
+
+ExitCode CommandRunner::listEvacuations() {
+  Result<Json, ExitCode> Got = fetch("/v1/evacuations");
+  if (!Got)
+    return Got.error();
+  print(Got.value(),
+        internal::textTable(
+            internal::listField(Got.value(), "failure_domains"),
+            {"failure_domain", "evacuated", "servers", "targets", "requests"}));
+  return ExitCode::Ok;
+}
+
 ExitCode CommandRunner::get(Arguments) {
   Result<Json, ExitCode> Current = fetchDeclaration(m_options.m_revision);
   if (!Current)
@@ -433,9 +491,9 @@
                     internal::cellText(textField(Body, "winning_author")),
                     internal::cellText(textField(Body, "winning_change_id"))));
   if (Answer.m_status == 503)
-    return fail(
-        ExitCode::Refused,
-        fmt::format("unavailable; nothing was changed: {}", Answer.m_detail));
+    return fail(ExitCode::Refused,
+                fmt::format("unavailable; nothing was changed: {}{}",
+                            Answer.m_detail, internal::statedReason(Body)));
   if (Answer.m_status == 401 || Answer.m_status == 403)
     return fail(
         ExitCode::Refused,
--- a/packages/ctl/turmericdyke/src/Ctl/CommandRunner.h
+++ b/packages/ctl/turmericdyke/src/Ctl/CommandRunner.h
@@ -32,6 +32,7 @@
   ExitCode check(Arguments Files);
   ExitCode diff(Arguments Files);
   ExitCode drain(Arguments Names);
+  ExitCode evacuation(Arguments Verb);
   ExitCode get(Arguments None);
   ExitCode hashKey(Arguments None);
   ExitCode history(Arguments None);
@@ -51,6 +52,8 @@
   ExitCode reportChange(const OperatorAnswer &Answer,
                         std::string_view ResendFlags);
   ExitCode reportRefusal(const OperatorAnswer &Answer);
+  ExitCode setEvacuated(const std::string &FailureDomain, bool Evacuated);
+  ExitCode listEvacuations();
   ExitCode setDrained(const std::string &Name, bool Drained);
   /// Returns `target` or `host`. On failure, writes the reason, sets `Failed`
   /// and returns an empty string.
--- a/packages/ctl/turmericdyke/src/Ctl/OperatorClient.cpp
+++ b/packages/ctl/turmericdyke/src/Ctl/OperatorClient.cpp
@@ -99,6 +99,8 @@
         internal::toMicroseconds(internal::ConnectTimeout));
     Client.set_read_timeout(internal::toMicroseconds(m_options.m_timeout));
     Client.set_write_timeout(internal::toMicroseconds(m_options.m_timeout));
+    // A coordinator that does not lead redirects to the one that does.
+    Client.set_follow_location(true);
     // A node that listens only on loopback may need no key.
     httplib::Headers Headers;
     if (!m_options.m_operatorKey.empty())
