--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -6,6 +6,7 @@
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Base/LogSink.h"
+#include "turmericdyke/src/Coordinator/ProductCalls.h"
 #include "turmericdyke/src/Coordinator/WithdrawalRecords.h"
 #include "turmericdyke/src/Feed/FeedAssignment.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
@@ -20,8 +21,10 @@
 }
 
 void CoordinatorNode::onCall(std::shared_ptr<ServerExchange> Exchange) {
-  ControlCall Call = m_protocol.readCall(Exchange->request());
-  std::visit([&](const auto &Kind) { handle(Exchange, Kind); }, Call);
+  std::optional<ControlCall> Call = readProductCall(Exchange->request());
+  if (!Call)
+    Call = m_protocol.readCall(Exchange->request());
+  std::visit([&](const auto &Kind) { handle(Exchange, Kind); }, *Call);
 }
 
 void CoordinatorNode::handle(const std::shared_ptr<ServerExchange> &Exchange,
@@ -171,6 +174,7 @@
                 static_cast<double>(m_servers.all().size()));
   m_metrics.set("turmericdyke_groups",
                 static_cast<double>(m_planner.groups().size()));
+  setEvacuationMetrics();
   m_metrics.set("turmericdyke_loop_turns_total",
                 static_cast<double>(m_loop.turns()));
   m_metrics.set("turmericdyke_log_lines_dropped",
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -160,7 +160,9 @@
 }
 
 void CoordinatorNode::requestReload(CoordinatorSettings Settings) {
-  m_loop.post([this, Seeds = std::move(Settings.m_seeds)] {
+  m_loop.post([this, Seeds = std::move(Settings.m_seeds),
+               Domains = std::move(Settings.m_failureDomains)] {
+    m_settings.m_failureDomains = Domains;
     m_roster.addSeeds(monotonicNow(), Seeds);
     LogLine(LogLevel::Info, "settings_reloaded")
         .field("node", m_settings.m_name)
@@ -248,6 +250,7 @@
   for (const auto &[Ticket, Exchange] : m_pendingPuts)
     Exchange->respond(m_protocol.errorResponse(503, Reason));
   m_pendingPuts.clear();
+  refusePendingEvacuations(Reason);
   refuseWithdrawals(Reason);
 }
 
@@ -291,6 +294,7 @@
         m_fencingToken = Granted->m_first;
       continue;
     }
+    onEvacuationDone(Done);
     onWithdrawalsDone(Done.m_ticket, Done.m_status == SubmitStatus::Committed);
     auto Found = m_pendingPuts.find(Done.m_ticket);
     if (Found == m_pendingPuts.end())
@@ -339,6 +343,7 @@
 void CoordinatorNode::applyState() {
   updateSuspects();
   applyWithdrawals();
+  applyEvacuations();
   const SetRouting &Routing = m_core->state().routing();
   if (Routing.m_version <= m_catalog.m_version)
     return;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -21,6 +21,7 @@
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 #include "turmericdyke/src/Feed/FeedRelay.h"
 #include "turmericdyke/src/Feed/LimitRecords.h"
+#include "turmericdyke/src/Groups/EvacuatedDomains.h"
 #include "turmericdyke/src/Groups/ServerDirectory.h"
 #include "turmericdyke/src/Http/HttpServer.h"
 #include "turmericdyke/src/Node/Bootstrap.h"
@@ -30,6 +31,7 @@
 namespace turmericdyke {
 
 class PeerTransport;
+struct FailureDomainStatus;
 struct ReceivedMessage;
 struct VoterPlan;
 
@@ -107,6 +109,21 @@
   void handle(const std::shared_ptr<ServerExchange> &, const GetRoutingCall &);
   void handle(const std::shared_ptr<ServerExchange> &, const AnnounceCall &);
   void handle(const std::shared_ptr<ServerExchange> &, const WithdrawCall &);
+  void handle(const std::shared_ptr<ServerExchange> &, const EvacuationCall &);
+  void handle(const std::shared_ptr<ServerExchange> &,
+              const ListEvacuationsCall &);
+  /// The failure domains that servers, coordinators or the settings name, and
+  /// those that are evacuated.
+  std::set<FailureDomainId> failureDomains() const;
+  bool isKnown(const FailureDomainId &Domain) const;
+  void refuseEvacuation(ServerExchange &Exchange, const EvacuationCall &Call,
+                        int Status, const std::string &Reason);
+  void onEvacuationDone(const Completion &Done);
+  void refusePendingEvacuations(const std::string &Reason);
+  /// Takes over the evacuations that the replicated state records.
+  void applyEvacuations();
+  std::vector<FailureDomainStatus> failureDomainStatus() const;
+  void setEvacuationMetrics();
   /// Records the withdrawals that have arrived in the replicated state; they
   /// are acknowledged once they are committed.
   void submitWithdrawals();
@@ -151,7 +168,11 @@
   /// Updates the suspect lists of the feed.
   void updateSuspects();
   void publishTargets();
+  /// The targets that entry nodes may use.
   std::vector<ServingTarget> servingTargets() const;
+  /// The same, with those of evacuated failure domains.
+  std::vector<ServingTarget> allTargets() const;
+  std::vector<TargetId> evacuatedServers() const;
   FeedContext feedContext() const;
   void pushFeed();
   /// Starts from the server list of the previous leader, if the copy is recent.
@@ -174,6 +195,13 @@
     Instant m_received;
   };
 
+  /// An operator who waits for the acknowledgement of an order.
+  struct PendingEvacuation {
+    EvacuationCall m_call;
+    std::shared_ptr<ServerExchange> m_exchange;
+    Instant m_received;
+  };
+
   CoordinatorSettings m_settings;
   const CoordinatorProtocol &m_protocol;
   NodeId m_self;
@@ -201,6 +229,11 @@
   std::map<std::uint64_t, std::vector<PendingWithdrawal>>
       m_submittedWithdrawals;
   EventLoop::Timer m_withdrawalTimer;
+  /// Evacuation orders that wait to be committed, by ticket.
+  std::map<std::uint64_t, PendingEvacuation> m_pendingEvacuations;
+  /// The failure domains whose servers may not be used, by the replicated state
+  /// as far as this node has applied it.
+  EvacuatedDomains m_evacuated;
   /// The routing document in force on this node, parsed and as text.
   Catalog m_catalog;
   std::string m_document;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -173,6 +173,7 @@
     GroupPlannerInput Input;
     Input.m_servers = &m_servers;
     Input.m_catalog = &m_catalog;
+    Input.m_evacuated = &m_evacuated;
     // A leader that inherits nothing does not know whether requests have run.
     Input.m_trafficSeen = m_trafficSeen || (m_fencingToken > 1 && !m_inherited);
     Input.m_progress = m_progress;
@@ -287,6 +288,14 @@
 }
 
 std::vector<ServingTarget> CoordinatorNode::servingTargets() const {
+  std::vector<ServingTarget> Targets = allTargets();
+  std::erase_if(Targets, [this](const ServingTarget &Target) {
+    return m_evacuated.contains(Target.m_failureDomain);
+  });
+  return Targets;
+}
+
+std::vector<ServingTarget> CoordinatorNode::allTargets() const {
   Instant Now = monotonicNow();
   std::vector<ServingTarget> Targets;
   for (const auto &[Epoch, Group] : m_planner.groups()) {
@@ -317,7 +326,11 @@
 }
 
 void CoordinatorNode::publishTargets() {
-  m_feed.setTargets(servingTargets());
+  // Entry nodes may hold targets of an earlier term until this leader knows all
+  // servers, but not those of evacuated failure domains.
+  bool Complete = m_settled && m_planner.leading();
+  m_feed.setTargets(servingTargets(),
+                    Complete ? std::vector<TargetId>() : evacuatedServers());
   pushFeed();
 }
 
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorProtocol.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorProtocol.h
@@ -33,14 +33,25 @@
   TargetId m_id;
 };
 
+/// An operator orders that nothing more is sent to the servers of a failure
+/// domain, or revokes that.
+struct EvacuationCall {
+  FailureDomainId m_failureDomain;
+  bool m_evacuated = false;
+};
+
+/// An operator asks which failure domains there are, and what runs there.
+struct ListEvacuationsCall {};
+
 /// An unknown call, or one that cannot be parsed.
 struct InvalidCall {
   int m_status = 404;
   std::string m_reason;
 };
 
-using ControlCall = std::variant<InvalidCall, PutRoutingCall, GetRoutingCall,
-                                 AnnounceCall, WithdrawCall>;
+using ControlCall =
+    std::variant<InvalidCall, PutRoutingCall, GetRoutingCall, AnnounceCall,
+                 WithdrawCall, EvacuationCall, ListEvacuationsCall>;
 
 /// Translates between a coordinator and the formats of operators and servers.
 /// Contains names and formats only.
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
@@ -13,6 +13,8 @@
   /// Name in logs.
   std::string m_name;
   FailureDomainId m_failureDomain;
+  /// Failure domains that exist even if no server or coordinator reports them.
+  std::vector<FailureDomainId> m_failureDomains;
   /// IP:port for operators and for servers that announce themselves. All
   /// coordinators use the same port.
   std::string m_controlAddress;
