--- a/packages/serving/turmericdyke/src/Serving/LoadInterpretation.cpp
+++ b/packages/serving/turmericdyke/src/Serving/LoadInterpretation.cpp
@@ -59,7 +59,7 @@
     Value.m_remaining.push_back(Report.m_own + Report.m_others - Part);
     Completed += Part;
   }
-  Value.m_arrivals = Completed + Request;
+  Value.m_arrivals = Completed;
   Value.m_level =
       internal::fillLevel(Reports, Value.m_remaining, Value.m_arrivals);
   double Target = internal::fillLevel(Reports, Value.m_remaining,
--- a/packages/serving/turmericdyke/src/Serving/LoadInterpretation.h
+++ b/packages/serving/turmericdyke/src/Serving/LoadInterpretation.h
@@ -28,8 +28,7 @@
   /// Load that has not completed since the report, for each target, without
   /// what other nodes have placed since.
   std::vector<double> m_remaining;
-  /// What all nodes together have placed since the reports, and the request
-  /// that is to be placed.
+  /// What all nodes together have placed since the reports.
   double m_arrivals = 0;
   /// Load per capacity to which the arrivals fill the least loaded targets.
   double m_level = 0;
--- a/packages/serving/turmericdyke/src/Serving/Placement.cpp
+++ b/packages/serving/turmericdyke/src/Serving/Placement.cpp
@@ -50,7 +50,7 @@
   double Bound = 1 + Settings.m_waitingPerSlot;
   std::vector<double> Weights = Loads.m_deficits;
   for (std::size_t At = 0; At < Indexes.size(); ++At)
-    if (loadOf(Options[Indexes[At]]) >= Bound)
+    if (Loads.loadOf(At, Reports[At]) >= Bound)
       Weights[At] = 0;
   if (std::all_of(Weights.begin(), Weights.end(),
                   [](double Weight) { return Weight <= 0; }))
--- a/packages/serving/turmericdyke/src/Serving/Placement.h
+++ b/packages/serving/turmericdyke/src/Serving/Placement.h
@@ -33,8 +33,9 @@
 };
 
 struct PlacementOptions {
-  /// Requests that may queue at a target per slot. Requests beyond the slots
-  /// queue at the target, where they can no longer move to another one.
+  /// Requests that may queue at a target per slot, by its estimated load.
+  /// Requests beyond the slots queue at the target, where they can no longer
+  /// move to another one.
   double m_waitingPerSlot = 0.25;
   /// Mean age of the other nodes' counts when their sum arrives here: half the
   /// interval of 250 ms between a node's reports, and the way through two
