--- a/packages/serving/turmericdyke/src/Serving/PromptTime.cpp
+++ b/packages/serving/turmericdyke/src/Serving/PromptTime.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "turmericdyke/src/Catalog/Catalog.h"
+#include "turmericdyke/src/Catalog/EngineTime.h"
 
 namespace turmericdyke {
 
@@ -15,16 +16,12 @@
 
 /// Time to read a prompt in a full batch, at a pace of 1.
 absl::Duration readTime(const EngineCosts &Engine, std::int64_t PromptTokens) {
-  double Tokens = static_cast<double>(PromptTokens);
   std::int64_t Chunk = std::max<std::int64_t>(1, Engine.m_prefillChunk);
   std::int64_t Passes = (PromptTokens + Chunk - 1) / Chunk;
-  absl::Duration Pass =
-      (Engine.m_stepTime + Engine.m_stepTimePerRequest * Engine.m_slots) *
-      std::max<std::int64_t>(1, Engine.m_stepsPerPass);
-  absl::Duration Read =
-      absl::Seconds(Tokens / std::max(1.0, Engine.m_prefillTokensPerSecond));
-  double Pairs = Tokens * Tokens / 2e6;
-  return Read + Engine.m_prefillTimePerMillionPairs * Pairs + Pass * Passes;
+  absl::Duration Pass = decodeStepTime(Engine, Engine.m_slots, 0) *
+                        std::max<std::int64_t>(1, Engine.m_stepsPerPass);
+  return promptReadTime(Engine, static_cast<double>(PromptTokens)) +
+         Pass * Passes;
 }
 
 } // namespace
@@ -47,9 +44,7 @@
   std::int64_t Output = std::max<std::int64_t>(0, OutputTokens);
   double ContextThousands = static_cast<double>(Prompt + Output) / 1000;
   absl::Duration Step =
-      Engine.m_stepTime + (Engine.m_stepTimePerRequest +
-                           Engine.m_stepTimePerContext * ContextThousands) *
-                              Engine.m_slots;
+      decodeStepTime(Engine, Engine.m_slots, ContextThousands);
   return (internal::readTime(Engine, Prompt) + Step * Output) * Model.m_pace;
 }
 
