--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -10,6 +10,7 @@
 #include "turmericdyke/src/Entry/AttemptRequest.h"
 #include "turmericdyke/src/Entry/EntryServices.h"
 #include "turmericdyke/src/Entry/PeerAttempt.h"
+#include "turmericdyke/src/Entry/RequestArrival.h"
 #include "turmericdyke/src/Entry/TargetAttempt.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
 #include "turmericdyke/src/Serving/PassOnDecision.h"
@@ -96,8 +97,11 @@
   // The node that passes a request on has counted it.
   if (!m_relayed) {
     m_services.retryBudget(m_service).onRequest(monotonicNow());
-    if (!m_caller.m_model.empty())
+    if (!m_caller.m_model.empty()) {
       ++m_services.m_modelRequests;
+      m_services.m_arrivals.add(
+          arrivalOf(*m_routes->catalog().service(m_service), m_caller));
+    }
   }
   if (!mayBeginAttempt())
     return refuse(Refusal::Stopping);
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -267,6 +267,7 @@
     if (Outgoing.m_coordinator == m_feed->source()) {
       Outgoing.m_request.m_modelRequests =
           std::exchange(m_services->m_modelRequests, 0);
+      Outgoing.m_request.m_arrivals = m_services->m_arrivals.take();
       Outgoing.m_request.m_suspects = std::exchange(m_suspects, {});
       Outgoing.m_request.m_progressing = m_services->m_stalls.takeProgress();
       m_services->m_suspects.takeReports(Now, Outgoing.m_request);
--- a/packages/entry/turmericdyke/src/Entry/EntryServices.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -12,6 +12,7 @@
 #include "turmericdyke/src/Base/Metrics.h"
 #include "turmericdyke/src/Catalog/RouteTable.h"
 #include "turmericdyke/src/Entry/EntrySettings.h"
+#include "turmericdyke/src/Feed/ArrivalCounts.h"
 #include "turmericdyke/src/Feed/FeedFollower.h"
 #include "turmericdyke/src/Feed/SuspectWatch.h"
 #include "turmericdyke/src/Http/HttpClientPool.h"
@@ -69,6 +70,8 @@
   std::map<TargetId, std::int64_t> m_uses;
   /// Requests for models since the last report to the leader.
   std::int64_t m_modelRequests = 0;
+  /// The same by service and model.
+  ArrivalCounts m_arrivals;
   /// The same of other entry nodes that requests are passed on to, named by
   /// their peer addresses.
   TargetHealth m_peerHealth;
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -422,6 +422,31 @@
   CHECK_FALSE(Mirror.respond(Start, Reporting, Relaying).m_suspects);
 }
 
+// Guards against demand that is lost, or counted twice, where entry nodes
+// follow a relay, and against sums that overflow.
+TEST_CASE("a relay sums arrivals by model and reports them once") {
+  FeedRelay Relay(NodeId("relay"));
+  FeedPublisher Mirror;
+  FeedRequest Reporting;
+  Reporting.m_node = NodeId("entry");
+  Reporting.m_arrivals = {{ServiceId("llm"), "large", 1, 700, 60},
+                          {ServiceId("llm"), "small", 2, 900, 80}};
+  Relay.collect(Start, Reporting);
+  Reporting.m_node = NodeId("other");
+  Reporting.m_arrivals = {{ServiceId("llm"), "small", 3, INT64_MAX, -5}};
+  Relay.collect(Start, Reporting);
+  Relay.collect(Start, Reporting);
+  FeedRequest Relayed =
+      parseFeedRequest(toJson(Relay.request(Start, Mirror))).value();
+  REQUIRE(Relayed.m_arrivals.size() == 2);
+  CHECK(Relayed.m_arrivals[0] ==
+        ModelArrivals{ServiceId("llm"), "large", 1, 700, 60});
+  CHECK(Relayed.m_arrivals[1].m_requests == 8);
+  CHECK(Relayed.m_arrivals[1].m_promptTokens > 0);
+  CHECK(Relayed.m_arrivals[1].m_outputTokens == 80);
+  CHECK(Relay.request(Start, Mirror).m_arrivals.empty());
+}
+
 // Guards against a revoked key that is accepted through a relay which was cut
 // off from the leader: the lease is as short as the relay's knowledge is old.
 TEST_CASE("a lease through a relay starts with the relay's own confirmation") {
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
@@ -43,6 +43,7 @@
   Request.m_term = m_term;
   Request.m_sequence = m_term == 0 ? 0 : Publisher.sequence();
   Request.m_modelRequests = std::exchange(m_modelRequests, 0);
+  Request.m_arrivals = m_arrivals.take();
   Request.m_suspects = std::exchange(m_suspects, {});
   Request.m_progressing = std::exchange(m_progressing, {});
   Request.m_suspectsVersion = m_suspectLists.m_version;
@@ -66,6 +67,7 @@
 
 void FeedRelay::collect(Instant Now, const FeedRequest &Request) {
   m_modelRequests += Request.m_modelRequests;
+  m_arrivals.add(Request.m_arrivals);
   internal::mergeInto(m_suspects, Request.m_suspects);
   internal::mergeInto(m_progressing, Request.m_progressing);
   internal::mergeInto(m_sound, Request.m_sound);
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Feed/ArrivalCounts.h"
 #include "turmericdyke/src/Feed/LimitRecords.h"
 #include "turmericdyke/src/Fleet/FeedMessage.h"
 
@@ -77,6 +78,7 @@
 
   // Collected for the next request.
   std::int64_t m_modelRequests = 0;
+  ArrivalCounts m_arrivals;
   std::vector<TargetId> m_suspects;
   std::vector<TargetId> m_progressing;
   std::vector<CrashReport> m_crashes;
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -34,6 +34,14 @@
   return Object;
 }
 
+Json entryJson(const ModelArrivals &Value) {
+  return {{"s", Value.m_service.str()},
+          {"m", Value.m_model},
+          {"n", Value.m_requests},
+          {"p", Value.m_promptTokens},
+          {"o", Value.m_outputTokens}};
+}
+
 Json entryJson(const EntryPeer &Value) {
   return {{"n", Value.m_node.str()},
           {"a", Value.m_relayAddress},
@@ -103,6 +111,16 @@
   propagateError(Reader, Outer);
 }
 
+void readEntry(const Json &Value, ModelArrivals &Entry, JsonReader &Outer) {
+  JsonReader Reader(Value);
+  Reader.id("s", Entry.m_service, true)
+      .text("m", Entry.m_model)
+      .number("n", Entry.m_requests)
+      .number("p", Entry.m_promptTokens)
+      .number("o", Entry.m_outputTokens);
+  propagateError(Reader, Outer);
+}
+
 void readEntry(const Json &Value, EntryPeer &Entry, JsonReader &Outer) {
   JsonReader Reader(Value);
   Reader.id("n", Entry.m_node, true)
@@ -285,6 +303,8 @@
     Object["crashes"] = internal::listJson(Message.m_crashes);
   if (!Message.m_sound.empty())
     Object["sound_keys"] = internal::listJson(Message.m_sound);
+  if (!Message.m_arrivals.empty())
+    Object["arrivals"] = internal::listJson(Message.m_arrivals);
   if (Message.m_limitsVersion != 0)
     Object["limits_version"] = Message.m_limitsVersion;
   if (!Message.m_limits.empty())
@@ -372,6 +392,7 @@
   internal::readList(Reader, "crashes", Read.m_crashes);
   internal::readList(Reader, "sound_keys", Read.m_sound);
   internal::readList(Reader, "limits", Read.m_limits);
+  internal::readList(Reader, "arrivals", Read.m_arrivals);
   if (const nlohmann::json *Peers = Reader.object("offered_peers"))
     Read.m_offeredPeers =
         internal::readPeerList(*Peers, MaxExchangedPeers, Reader);
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -13,6 +13,7 @@
 #include "turmericdyke/src/Base/StringId.h"
 #include "turmericdyke/src/Fleet/CrashReport.h"
 #include "turmericdyke/src/Fleet/FleetError.h"
+#include "turmericdyke/src/Fleet/ModelArrivals.h"
 #include "turmericdyke/src/Fleet/PeerList.h"
 #include "turmericdyke/src/Fleet/TargetLimit.h"
 
@@ -83,6 +84,10 @@
   std::vector<TargetUse> m_uses;
   /// Requests for models since its last report.
   std::int64_t m_modelRequests = 0;
+  /// The same requests by service and model. Senders of earlier versions report
+  /// none, and relays of earlier versions pass none on: requests that are
+  /// missing here are of unknown models.
+  std::vector<ModelArrivals> m_arrivals;
   /// Targets whose streams have stalled.
   std::vector<TargetId> m_suspects;
   /// Targets whose streams have sent something since the last request.
