--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -132,6 +132,7 @@
       m_progress[Progressing] = Now;
     onCrashReports(Request);
     onLimits(Request);
+    m_demand.record(Now, Request.m_arrivals, Request.m_modelRequests);
   } else {
     m_feedRelay.collect(Now, Request);
     if (m_feedRelay.nextRequest() <= Now)
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -21,6 +21,7 @@
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 #include "turmericdyke/src/Feed/FeedRelay.h"
 #include "turmericdyke/src/Feed/LimitRecords.h"
+#include "turmericdyke/src/Groups/ModelDemand.h"
 #include "turmericdyke/src/Groups/ServerDirectory.h"
 #include "turmericdyke/src/Http/HttpServer.h"
 #include "turmericdyke/src/Node/Bootstrap.h"
@@ -148,6 +149,12 @@
   void onLimits(const FeedRequest &Request);
   /// Has requests refused that are found to crash their targets.
   void judgeSuspects();
+  /// Decides whether groups follow the measured demand, logs changes, and sets
+  /// the metrics.
+  void updateDemand(Instant Now);
+  /// `Measured` is false once this node does not lead any more.
+  void setDemandMetrics(bool Measured);
+  std::map<ServiceId, std::size_t> serversInGroups() const;
   /// Updates the suspect lists of the feed.
   void updateSuspects();
   void publishTargets();
@@ -212,6 +219,7 @@
   std::uint64_t m_fencingToken = 0;
   ServerDirectory m_servers;
   GroupPlanner m_planner;
+  ModelDemand m_demand;
   FeedPublisher m_feed;
   CrashAttribution m_crashes;
   SuspectLists m_suspects;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -70,6 +70,7 @@
     m_leaderSince = Now;
     m_fencingToken = 0;
     m_planner.stop();
+    m_demand.begin(Now);
     m_feed.reset();
     m_announcementRelay.clear();
     updateSuspects();
@@ -84,6 +85,7 @@
   m_fenceTicket = 0;
   m_fencingToken = 0;
   m_planner.stop();
+  setDemandMetrics(false);
   m_crashes.reset();
   m_limits.clear();
   m_feed.reset();
@@ -168,8 +170,13 @@
   pushDirectory();
   m_trafficSeen = m_trafficSeen || m_feed.trafficSeen();
   if (m_fencingToken > 0 && m_catalog.m_version > 0) {
-    if (!m_planner.leading())
+    if (!m_planner.leading()) {
       m_planner.lead(m_fencingToken);
+      // Every later leader may find groups of an earlier one.
+      if (m_fencingToken > 1)
+        m_demand.expectGroups();
+    }
+    updateDemand(Now);
     GroupPlannerInput Input;
     Input.m_servers = &m_servers;
     Input.m_catalog = &m_catalog;
@@ -177,6 +184,7 @@
     Input.m_trafficSeen = m_trafficSeen || (m_fencingToken > 1 && !m_inherited);
     Input.m_progress = m_progress;
     Input.m_settled = m_settled;
+    Input.m_demand = &m_demand;
     for (const GroupOrder &Order : m_planner.step(Now, Input))
       sendOrder(Order);
     for (const GroupEvent &Event : m_planner.takeEvents())
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include "turmericdyke/src/Groups/ModelDemand.h"
+
 namespace turmericdyke {
 
 namespace internal {
@@ -81,11 +83,13 @@
   m_fencingToken = Fence;
   m_nextEpoch = (Fence << internal::EpochBits) + 1;
   m_groups.clear();
+  m_wantedMoves.clear();
 }
 
 void GroupPlanner::stop() {
   m_fencingToken = 0;
   m_groups.clear();
+  m_wantedMoves.clear();
 }
 
 std::vector<GroupEvent> GroupPlanner::takeEvents() {
@@ -430,7 +434,15 @@
 }
 
 ModelBalance GroupPlanner::modelBalance(const ServiceEntry &Service) const {
-  ModelBalance Balance(*Service.m_engine);
+  ModelBalance Balance = m_input->m_demand != nullptr
+                             ? m_input->m_demand->balance(Service)
+                             : ModelBalance(*Service.m_engine);
+  countServers(Service, Balance);
+  return Balance;
+}
+
+void GroupPlanner::countServers(const ServiceEntry &Service,
+                                ModelBalance &Balance) const {
   for (const auto &[Epoch, G] : m_groups) {
     const EngineModel *Model = G.m_service == Service.m_id
                                    ? Service.m_engine->model(G.m_model)
@@ -440,13 +452,15 @@
   }
   for (const auto &[Domain, Reserved] : m_reserved)
     if (const EngineModel *Model = Service.m_engine->model(Reserved.m_model))
-      Balance.add(*Model, Model->m_members);
-  return Balance;
+      Balance.add(*Model, Model->m_members * Reserved.m_groups);
 }
 
 void GroupPlanner::formGroups(const ServiceEntry &Service) {
   FreeServers Free = freeServers(Service.m_id);
-  bool PreemptionTried = !m_input->m_trafficSeen;
+  bool Follows = followsDemand(Service);
+  bool PreemptionTried = !m_input->m_trafficSeen || Follows ||
+                         (m_input->m_demand != nullptr &&
+                          m_input->m_demand->holdsGroups(Service.m_id));
   auto FormNext = [&] {
     for (const EngineModel *Model : modelBalance(Service).scarcestFirst()) {
       if (formGroup(Service, *Model, Free))
@@ -458,11 +472,15 @@
   };
   while (FormNext())
     ;
-  stageWeights(Service, Free);
+  std::vector<GroupMove> Moves;
+  if (Follows && m_input->m_trafficSeen)
+    Moves = moveGroups(Service, Free);
+  stageWeights(Service, Free, Moves);
 }
 
 void GroupPlanner::stageWeights(const ServiceEntry &Service,
-                                const FreeServers &Free) {
+                                const FreeServers &Free,
+                                absl::Span<const GroupMove> Moves) {
   StagingInput Input{&Service, m_input->m_servers,    Free,
                      {},       modelBalance(Service), m_input->m_trafficSeen};
   std::vector<const Group *> Serving;
@@ -477,6 +495,7 @@
     for (const Member &M : G->m_members)
       if (const ServerRecord *Server = liveMember(*G, M))
         Input.m_serving.push_back(Server);
+  addMoves(Moves, Input);
   for (const StagingOrder &Fetch : m_stager.planFetches(m_now, Input)) {
     GroupOrder Order;
     Order.m_kind = GroupOrderKind::Stage;
@@ -636,7 +655,9 @@
                      return A->holdsWeights(Model.m_name) >
                             B->holdsWeights(Model.m_name);
                    });
-  m_reserved.erase(BestDomain);
+  auto Reserved = m_reserved.find(BestDomain);
+  if (Reserved != m_reserved.end() && --Reserved->second.m_groups == 0)
+    m_reserved.erase(Reserved);
   Group G;
   G.m_epoch = m_nextEpoch++;
   G.m_name = fmt::format("g{}", G.m_epoch);
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -11,11 +11,14 @@
 #include "absl/types/span.h"
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Catalog/Catalog.h"
+#include "turmericdyke/src/Groups/GroupMoves.h"
 #include "turmericdyke/src/Groups/ServerDirectory.h"
 #include "turmericdyke/src/Groups/WeightStager.h"
 
 namespace turmericdyke {
 
+class ModelDemand;
+
 enum class GroupOrderKind { Join, Open, Close, Leave, Stage };
 
 std::string_view nameOf(GroupOrderKind Kind);
@@ -100,6 +103,19 @@
   /// hosts, so that a lost member is replaced within seconds, without waiting
   /// for a load.
   double m_spareShare = 0.06;
+  /// Fraction of a service's servers that moves between models may change at
+  /// the same time. A single move is always possible.
+  double m_movingShare = 1.0 / 6;
+  /// A model that gives up groups keeps this many times the servers that its
+  /// measured load occupies fully.
+  double m_keptNeed = 1.15;
+  /// How long a move must have been wanted before it is prepared, unless it has
+  /// been since the shares changed. A group that lost a member is formed again
+  /// within this time.
+  absl::Duration m_moveDelay = absl::Seconds(8);
+  /// How long a fabric domain is reserved for the groups of a move, in addition
+  /// to `m_closeTimeout`.
+  absl::Duration m_moveReservationTime = absl::Seconds(5);
 };
 
 /// Input of one planning step.
@@ -114,6 +130,8 @@
   bool m_settled = true;
   /// Requests have run. Before the first one, loads are not rate-limited.
   bool m_trafficSeen = false;
+  /// The measured demand for each model; null if only declared shares count.
+  const ModelDemand *m_demand = nullptr;
 };
 
 /// Forms groups of servers that serve one model together, opens them, and
@@ -206,6 +224,7 @@
   void formGroups(const ServiceEntry &Service);
   /// Counts the servers of each model, in groups that serve or are about to.
   ModelBalance modelBalance(const ServiceEntry &Service) const;
+  void countServers(const ServiceEntry &Service, ModelBalance &Balance) const;
   bool formGroup(const ServiceEntry &Service, const EngineModel &Model,
                  FreeServers &Free);
   /// Whether forming a group that needs loads would use up the spares.
@@ -234,7 +253,21 @@
                             const EngineModel &Model,
                             absl::Span<Group *const> Serving, std::size_t Warm,
                             ModelBalance Balance);
-  void stageWeights(const ServiceEntry &Service, const FreeServers &Free);
+  void stageWeights(const ServiceEntry &Service, const FreeServers &Free,
+                    absl::Span<const GroupMove> Moves);
+  /// Whether groups of the service follow measured shares.
+  bool followsDemand(const ServiceEntry &Service) const;
+  /// Closes the groups of moves that are ready, and returns the moves whose
+  /// members have to fetch weights first.
+  std::vector<GroupMove> moveGroups(const ServiceEntry &Service,
+                                    const FreeServers &Free);
+  MoveInput moveInput(const ServiceEntry &Service, const FreeServers &Free);
+  /// Whether moves to this model have been wanted for long enough.
+  bool moveIsDue(const ServiceEntry &Service, const EngineModel &Receiver);
+  void closeForMove(const GroupMove &Move);
+  /// Adds the fetches for moves, and removes the idle servers of fabric domains
+  /// where a move is under way: what is missing there is about to be released.
+  void addMoves(absl::Span<const GroupMove> Moves, StagingInput &Input) const;
 
   GroupPlannerOptions m_options;
   std::uint64_t m_fencingToken = 0;
@@ -246,8 +279,17 @@
   struct Reservation {
     std::string m_model;
     Instant m_until;
+    /// Groups of the model to be formed.
+    std::size_t m_groups = 1;
+    bool m_move = false;
   };
   std::map<FabricDomainId, Reservation> m_reserved;
+  /// The model that moves of a service give servers to, and since when.
+  struct WantedMove {
+    std::string m_model;
+    Instant m_since;
+  };
+  std::map<ServiceId, WantedMove> m_wantedMoves;
   std::vector<GroupEvent> m_events;
 
   // Valid during `step`.
--- a/packages/groups/turmericdyke/src/Groups/ModelBalance.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ModelBalance.cpp
@@ -23,6 +23,20 @@
   }
 }
 
+ModelBalance::ModelBalance(const EngineCosts &Engine,
+                           const std::map<std::string, double> &Shares)
+    : ModelBalance(Engine) {
+  for (const auto &[Model, Share] : Shares) {
+    auto Found = m_entries.find(Model);
+    if (Found != m_entries.end())
+      Found->second.m_share = std::max(Share, internal::MinShare);
+  }
+}
+
+double ModelBalance::servers(const EngineModel &Model) const {
+  return m_entries.at(Model.m_name).m_servers;
+}
+
 void ModelBalance::add(const EngineModel &Model, std::size_t Servers) {
   m_entries[Model.m_name].m_servers += static_cast<double>(Servers);
 }
--- a/packages/groups/turmericdyke/src/Groups/ModelBalance.h
+++ b/packages/groups/turmericdyke/src/Groups/ModelBalance.h
@@ -14,9 +14,15 @@
 class ModelBalance {
 public:
   explicit ModelBalance(const EngineCosts &Engine);
+  /// Uses these shares in place of the declared ones. Models that are not
+  /// listed keep theirs.
+  ModelBalance(const EngineCosts &Engine,
+               const std::map<std::string, double> &Shares);
 
   void add(const EngineModel &Model, std::size_t Servers);
   void remove(const EngineModel &Model, std::size_t Servers);
+  /// Servers counted for the model.
+  double servers(const EngineModel &Model) const;
   /// Servers per unit of the model's share.
   double serversPerShare(const EngineModel &Model) const;
   /// All models, ordered from the worst to the best supplied.
--- a/packages/groups/turmericdyke/src/Groups/WeightStager.cpp
+++ b/packages/groups/turmericdyke/src/Groups/WeightStager.cpp
@@ -110,6 +110,24 @@
   return true;
 }
 
+bool WeightStager::stageMove(Instant Now, const StagingInput &Input,
+                             const StagingDemand &Move) {
+  auto Missing = static_cast<std::int64_t>(Move.m_count);
+  for (const ServerRecord *Server : Move.m_candidates)
+    Missing -= willHold(*Server, *Move.m_model) ? 1 : 0;
+  for (const ServerRecord *Server : Move.m_candidates) {
+    if (Missing <= 0)
+      break;
+    if (willHold(*Server, *Move.m_model) || isFetching(*Server))
+      continue;
+    if (!tryAcquireFetch(Now, Input, 0))
+      return false;
+    startFetch(Now, *Server, *Move.m_model);
+    --Missing;
+  }
+  return true;
+}
+
 void WeightStager::stageSecondModels(Instant Now, const StagingInput &Input) {
   std::vector<const EngineModel *> ScarcestFirst =
       Input.m_balance.scarcestFirst();
@@ -139,7 +157,9 @@
   bool HasCapacity = true;
   for (const auto &[Domain, Idle] : Input.m_idle)
     HasCapacity = HasCapacity && stageIdle(Now, Input, Balance, Idle);
-  if (HasCapacity)
+  for (const StagingDemand &Move : Input.m_moves)
+    HasCapacity = HasCapacity && stageMove(Now, Input, Move);
+  if (HasCapacity && Input.m_moves.empty())
     stageSecondModels(Now, Input);
   return std::exchange(m_orders, {});
 }
--- a/packages/groups/turmericdyke/src/Groups/WeightStager.h
+++ b/packages/groups/turmericdyke/src/Groups/WeightStager.h
@@ -31,6 +31,14 @@
   std::int64_t m_fetchesReservedForIdle = 3;
 };
 
+/// Servers of which some must hold a model, so that groups of it can replace
+/// others.
+struct StagingDemand {
+  const EngineModel *m_model = nullptr;
+  std::vector<const ServerRecord *> m_candidates;
+  std::size_t m_count = 0;
+};
+
 /// Input of one planning step.
 struct StagingInput {
   const ServiceEntry *m_service = nullptr;
@@ -43,6 +51,9 @@
   ModelBalance m_balance;
   /// Requests have run. Before the first one, fetches are not limited.
   bool m_trafficSeen = false;
+  /// Prepared moves. They come after idle servers and before second models,
+  /// which wait while there are any.
+  std::vector<StagingDemand> m_moves = {};
 };
 
 /// An order to fetch the weights of a model to the host of a server.
@@ -54,15 +65,17 @@
 /// Decides which hosts fetch weights from the rate-limited store. Idle servers
 /// come first, so that the next group can be formed from servers that already
 /// hold its model: one member that loads delays all the others. Remaining
-/// capacity goes to a second model on the hosts of serving groups, whose
-/// members can then join a group of either model at once when their own group
-/// is dissolved.
+/// capacity goes to the members of prepared moves, then to a second model on
+/// the hosts of serving groups, whose members can then join a group of either
+/// model at once when their own group is dissolved.
 class WeightStager {
 public:
   explicit WeightStager(WeightStagerOptions Options = {});
 
   std::vector<StagingOrder> planFetches(Instant Now, const StagingInput &Input);
   void onOrderResult(Instant Now, const TargetId &Target, OrderResult Result);
+  /// Whether the server holds the weights or is fetching them.
+  bool willHold(const ServerRecord &Server, const EngineModel &Model) const;
 
 private:
   struct Fetch {
@@ -74,7 +87,6 @@
 
   void removeFinished(Instant Now, const StagingInput &Input);
   bool isFetching(const ServerRecord &Server) const;
-  bool willHold(const ServerRecord &Server, const EngineModel &Model) const;
   bool tryAcquireFetch(Instant Now, const StagingInput &Input,
                        std::int64_t Reserved);
   void startFetch(Instant Now, const ServerRecord &Server,
@@ -83,6 +95,9 @@
   /// the store has capacity left.
   bool stageIdle(Instant Now, const StagingInput &Input, ModelBalance &Balance,
                  std::vector<const ServerRecord *> Idle);
+  /// Returns whether the store has capacity left.
+  bool stageMove(Instant Now, const StagingInput &Input,
+                 const StagingDemand &Move);
   void stageSecondModels(Instant Now, const StagingInput &Input);
 
   WeightStagerOptions m_options;
