--- a/packages/catalog/test/CatalogTest.cpp
+++ b/packages/catalog/test/CatalogTest.cpp
@@ -68,3 +68,24 @@
   CHECK(Table.customerOf("k3") == nullptr);
   CHECK(Table.customerOf("") == nullptr);
 }
+
+// Guards against a need that leaves out what limits a batch: a response of 170
+// tokens takes one pass of 5 steps if 34 requests share it, two if only half of
+// them fit into memory, and a longer prompt takes as many passes as its chunks.
+TEST_CASE("a request occupies a replica for its share of the passes") {
+  EngineCosts Engine;
+  Engine.m_slots = 34;
+  Engine.m_stepsPerPass = 5;
+  Engine.m_stepTime = absl::Milliseconds(6);
+  Engine.m_prefillTokensPerSecond = 50000;
+  Engine.m_prefillChunk = 100;
+  EngineModel Model;
+  Model.m_pace = 2;
+  auto Time = [&](double Prompt, double Output) {
+    return replicaTimePerRequest(Engine, Model, Prompt, Output);
+  };
+  CHECK(Time(500, 170) == absl::Milliseconds(2 * (10 + 30)));
+  CHECK(Time(1000, 170) == absl::Milliseconds(2 * (20 + 60)));
+  Engine.m_kvCapacityTokens = 17 * 670;
+  CHECK(Time(500, 170) == absl::Milliseconds(2 * (10 + 60)));
+}
--- a/packages/catalog/turmericdyke/src/Catalog/EngineTime.cpp
+++ b/packages/catalog/turmericdyke/src/Catalog/EngineTime.cpp
@@ -36,8 +36,8 @@
   std::int64_t Chunk = std::max<std::int64_t>(1, Engine.m_prefillChunk);
   absl::Duration Pass =
       decodeStepTime(Engine, Batch, (Prompt + Output) / 1000) * Steps;
-  // A pass decodes for the whole batch and reads one chunk of a prompt.
-  double Passes = std::max(Prompt / static_cast<double>(Chunk),
+  // A pass decodes for the whole batch, and reads one chunk in each step.
+  double Passes = std::max(Prompt / static_cast<double>(Chunk * Steps),
                            Output / static_cast<double>(Batch * Steps));
   return (promptReadTime(Engine, Prompt) + Pass * Passes) * Model.m_pace;
 }
--- a/packages/groups/test/ModelDemandTest.cpp
+++ b/packages/groups/test/ModelDemandTest.cpp
@@ -211,7 +211,11 @@
 TEST_CASE("a deployment whose demand matches its shares does not change") {
   auto Run = [](bool Measures) {
     DemandFleet Fleet(catalog(Balanced), 60, 10, Measures);
-    Fleet.run(absl::Seconds(6), Load{{"large", 12}, {"small", 11}});
+    // The burst of inc-6743: 225 requests a second for the small model in place
+    // of 100.
+    Fleet.run(absl::Seconds(12), Load{{"large", 10}, {"small", 12.5}});
+    Fleet.run(absl::Seconds(5), Load{{"large", 10}, {"small", 28}});
+    Fleet.run(absl::Seconds(15), Load{{"large", 10}, {"small", 12.5}});
     for (int Swing = 0; Swing < 6; ++Swing) {
       Fleet.run(absl::Seconds(3), Load{{"large", 36}, {"small", 12}});
       Fleet.run(absl::Seconds(12), Load{{"large", 11}, {"small", 13}});
--- a/packages/groups/turmericdyke/src/Groups/ModelDemand.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ModelDemand.cpp
@@ -13,6 +13,9 @@
 namespace internal {
 namespace {
 
+/// How fast evidence fades while the shares in force fit.
+constexpr double FittingExcess = -0.4;
+
 using Shares = std::map<std::string, double>;
 
 /// A leader that was paused does not take the pause for lasting evidence.
@@ -159,7 +162,7 @@
     if (Differs)
       Excess -= Current.m_deviation * m_options.m_deviations;
     else
-      Excess = std::min(Excess, -m_options.m_firstEvidence);
+      Excess = std::min(Excess, internal::FittingExcess);
     State.m_evidence = std::clamp(State.m_evidence + Seconds * Excess, 0.0,
                                   m_options.m_laterEvidence);
     if (Differs)
--- a/packages/groups/turmericdyke/src/Groups/ModelDemand.h
+++ b/packages/groups/turmericdyke/src/Groups/ModelDemand.h
@@ -27,16 +27,15 @@
   /// and relays of earlier versions report only their number.
   double m_minCoverage = 0.5;
   /// A model must need this many times more servers per share than another.
-  double m_minSpread = 1.6;
-  /// Standard deviations of the spread that are taken off. Requests of one
-  /// customer come together, so they vary more than independent ones.
-  double m_deviations = 2;
+  double m_minSpread = 1.4;
+  /// Standard deviations of the spread that are taken off.
+  double m_deviations = 1;
   /// The logarithm of the spread beyond `m_minSpread` is integrated over time;
   /// shares change at this value, in seconds: within the first seconds of
   /// traffic, when a day has just begun, and later.
-  double m_firstEvidence = 0.4;
-  double m_laterEvidence = 1.2;
-  absl::Duration m_firstTraffic = absl::Seconds(5);
+  double m_firstEvidence = 0.3;
+  double m_laterEvidence = 2.5;
+  absl::Duration m_firstTraffic = absl::Seconds(8);
   /// Least time between two changes. The longest load of a service takes
   /// precedence.
   absl::Duration m_minInterval = absl::Seconds(15);
