--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -293,6 +293,11 @@
   std::vector<PlacementOption> Options = placementOptions();
   PlacementDecision Decision =
       turmericdyke::place(Options, m_services.m_placement, m_services.m_random);
+  // Labels are those of a target, as callers may state any model.
+  if (!Options.empty())
+    m_services.m_metrics.set("turmericdyke_placement_level", Decision.m_level,
+                             {{"service", m_service.str()},
+                              {"model", Options.front().m_target->m_model}});
   if (Decision.m_outcome == PlacementOutcome::Placed)
     return attemptAt(*Options[Decision.m_index].m_target);
   logNotPlaced(Options, Decision);
--- a/packages/serving/test/PlacementTest.cpp
+++ b/packages/serving/test/PlacementTest.cpp
@@ -78,6 +78,7 @@
   CHECK(rc::check("interpretation", [](const std::vector<std::uint16_t> &Seen) {
     RC_PRE(!Seen.empty());
     std::vector<ReportedLoad> Reports;
+    Reports.reserve(Seen.size());
     for (std::uint16_t Each : Seen)
       Reports.push_back(report(1 + Each % 40, Each % 5, Each % 61,
                                absl::Milliseconds(Each % 1500)));
