--- a/packages/serving/bench/PlacementTrial.cpp
+++ b/packages/serving/bench/PlacementTrial.cpp
@@ -40,6 +40,26 @@
   std::size_t load() const { return m_waiting.size() + m_running.size(); }
 };
 
+/// When counts were made, to tell how old a sum of them is.
+struct CountTimes {
+  double m_sum = 0;
+  double m_count = 0;
+
+  void add(Instant At) {
+    m_sum += absl::ToDoubleSeconds(At - absl::UnixEpoch());
+    ++m_count;
+  }
+  void add(const CountTimes &Other) {
+    m_sum += Other.m_sum;
+    m_count += Other.m_count;
+  }
+  absl::Duration age(Instant Now) const {
+    return m_count == 0
+               ? absl::ZeroDuration()
+               : Now - absl::UnixEpoch() - absl::Seconds(m_sum / m_count);
+  }
+};
+
 struct Node {
   std::vector<std::int64_t> m_own;
   std::vector<std::int64_t> m_reported;
@@ -48,13 +68,18 @@
   std::vector<std::int64_t> m_arriving;
   Instant m_arrivesAt = absl::InfiniteFuture();
   Instant m_updatedAt;
+  Instant m_reportedAt;
   Instant m_nextReport;
+  CountTimes m_othersTimes;
+  CountTimes m_arrivingTimes;
   RunTimes m_runTimes;
 };
 
 struct Relay {
   std::vector<std::int64_t> m_sent;
   std::vector<std::int64_t> m_elsewhere;
+  CountTimes m_sentTimes;
+  CountTimes m_elsewhereTimes;
   Instant m_next;
 };
 
@@ -113,6 +138,7 @@
     Each.m_reported.resize(Count);
     Each.m_others.resize(Count);
     Each.m_updatedAt = m_now;
+    Each.m_reportedAt = m_now;
     Each.m_nextReport =
         m_now + m_options.m_reportInterval * absl::Uniform(m_random, 0.0, 1.0);
   }
@@ -128,11 +154,17 @@
   Node &Self = m_nodes[At];
   Self.m_nextReport = m_now + m_options.m_reportInterval;
   Self.m_reported = Self.m_own;
+  Self.m_reportedAt = m_now;
   Self.m_arriving = m_relays[At % Relays].m_elsewhere;
-  for (std::size_t Other = At % Relays; Other < m_nodes.size(); Other += Relays)
-    if (Other != At)
-      for (std::size_t T = 0; T < m_targets.size(); ++T)
-        Self.m_arriving[T] += m_nodes[Other].m_reported[T];
+  Self.m_arrivingTimes = m_relays[At % Relays].m_elsewhereTimes;
+  for (std::size_t Other = At % Relays; Other < m_nodes.size();
+       Other += Relays) {
+    if (Other == At)
+      continue;
+    Self.m_arrivingTimes.add(m_nodes[Other].m_reportedAt);
+    for (std::size_t T = 0; T < m_targets.size(); ++T)
+      Self.m_arriving[T] += m_nodes[Other].m_reported[T];
+  }
   Self.m_arrivesAt = m_now + m_options.m_feedDelay * 2;
 }
 
@@ -143,18 +175,26 @@
       continue;
     Self.m_next = m_now + RelayInterval;
     std::fill(Self.m_sent.begin(), Self.m_sent.end(), 0);
-    for (std::size_t Each = At; Each < m_nodes.size(); Each += Relays)
+    Self.m_sentTimes = CountTimes();
+    Self.m_elsewhereTimes = CountTimes();
+    for (std::size_t Each = At; Each < m_nodes.size(); Each += Relays) {
+      Self.m_sentTimes.add(m_nodes[Each].m_reportedAt);
       for (std::size_t T = 0; T < m_targets.size(); ++T)
         Self.m_sent[T] += m_nodes[Each].m_reported[T];
+    }
     std::fill(Self.m_elsewhere.begin(), Self.m_elsewhere.end(), 0);
-    for (std::size_t Other = 0; Other < Relays; ++Other)
-      if (Other != At)
-        for (std::size_t T = 0; T < m_targets.size(); ++T)
-          Self.m_elsewhere[T] += m_relays[Other].m_sent[T];
+    for (std::size_t Other = 0; Other < Relays; ++Other) {
+      if (Other == At)
+        continue;
+      Self.m_elsewhereTimes.add(m_relays[Other].m_sentTimes);
+      for (std::size_t T = 0; T < m_targets.size(); ++T)
+        Self.m_elsewhere[T] += m_relays[Other].m_sent[T];
+    }
   }
   for (std::size_t At = 0; At < m_nodes.size(); ++At) {
     if (m_now >= m_nodes[At].m_arrivesAt) {
       m_nodes[At].m_others = m_nodes[At].m_arriving;
+      m_nodes[At].m_othersTimes = m_nodes[At].m_arrivingTimes;
       m_nodes[At].m_updatedAt = m_now;
       m_nodes[At].m_arrivesAt = absl::InfiniteFuture();
     }
@@ -190,7 +230,7 @@
   m_placed += counts();
   m_result.m_local += counts() && Local;
   m_result.m_ageMillis +=
-      counts() ? absl::ToDoubleMilliseconds(Options[T].m_otherRequestsAge) : 0;
+      counts() ? absl::ToDoubleMilliseconds(Self.m_othersTimes.age(m_now)) : 0;
   auto Size = [this](double Mean) {
     return Mean * absl::Uniform(m_random, 0.5, 1.5);
   };
