--- a/packages/catalog/turmericdyke/src/Catalog/Catalog.h
+++ b/packages/catalog/turmericdyke/src/Catalog/Catalog.h
@@ -101,6 +101,11 @@
   std::int64_t m_maxConnections = 0;
   /// Set if the servers are engines whose replicas span several hosts.
   std::optional<EngineCosts> m_engine;
+  /// How long a server stays cold after it has started while requests run.
+  absl::Duration m_coldStart = absl::ZeroDuration();
+  /// Requests a second that a cold server can take from all callers together;
+  /// 0 if it can take as many as a warm one.
+  double m_coldPerSecond = 0;
 };
 
 struct CustomerEntry {
--- a/packages/catalog/turmericdyke/src/Catalog/CatalogValidation.cpp
+++ b/packages/catalog/turmericdyke/src/Catalog/CatalogValidation.cpp
@@ -13,6 +13,8 @@
 namespace internal {
 namespace {
 
+constexpr double MaxColdPerSecond = 1e6;
+
 std::optional<CatalogError> validateRoute(const Route &Value) {
   std::string Place = "route " + Value.m_name;
   if (Value.m_pathPrefix.empty() || Value.m_pathPrefix.front() != '/' ||
@@ -62,6 +64,12 @@
     if (Entry.m_id.empty() || !Names.insert(Entry.m_id.str()).second)
       return CatalogError{"service " + Entry.m_id.str(),
                           "the name is empty or taken"};
+    if (Entry.m_coldStart < absl::ZeroDuration() ||
+        Entry.m_coldStart > ServerAnnouncement::MaxColdTime ||
+        !(Entry.m_coldPerSecond >= 0 &&
+          Entry.m_coldPerSecond <= MaxColdPerSecond))
+      return CatalogError{"service " + Entry.m_id.str(),
+                          "the cold time or rate is below 0 or too large"};
     if (!Entry.m_engine)
       continue;
     if (Entry.m_engine->m_slots < 0 ||
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -87,6 +87,7 @@
   if (!Parsed)
     return m_metrics.increment("turmericdyke_peer_messages_refused_total");
   reportMalformed(Message, Parsed.value().m_malformed);
+  setClock(Parsed.value(), monotonicNow());
   if (m_directoryCopy.receive(Parsed.value()))
     m_copyUpdated = monotonicNow();
 }
@@ -112,6 +113,7 @@
   if (!leads() || m_ledTerm != m_core->raft().term())
     return;
   Instant Now = monotonicNow();
+  setClock(Parsed.value(), Now);
   if (Parsed.value().m_term == m_ledTerm)
     for (const ServerHeard &Heard : Parsed.value().m_unchanged)
       if (!isWithdrawn(m_core->state(), {Heard.m_id, Heard.m_startMillis}))
@@ -249,10 +251,12 @@
     // servers' next ones.
     (void)m_transport->sendTo(Leader.str(), PeerMessageKind::FeedRequest,
                               encode(m_feedRelay.request(Now, m_feed)));
-    if (!m_announcementRelay.empty())
-      (void)m_transport->sendTo(Leader.str(),
-                                PeerMessageKind::AnnouncementBatch,
-                                encode(m_announcementRelay.take()));
+    if (!m_announcementRelay.empty()) {
+      AnnouncementBatch Batch = m_announcementRelay.take();
+      Batch.m_now = Now;
+      (void)m_transport->sendTo(
+          Leader.str(), PeerMessageKind::AnnouncementBatch, encode(Batch));
+    }
   }
   m_lastRelayed = Now;
   m_relayTimer =
@@ -316,6 +320,7 @@
   Update.m_term = m_ledTerm;
   Update.m_complete = m_settled;
   Update.m_trafficSeen = m_trafficSeen;
+  Update.m_now = monotonicNow();
   Sent = Update.m_sequence;
   // The receiver reports what it holds once a second, so lost updates are sent
   // again.
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -72,7 +72,9 @@
     : m_settings(std::move(Settings)), m_protocol(Protocol),
       m_self(m_settings.m_peerAddress),
       m_roster(m_self, internal::rosterOptions(m_settings)),
-      m_planner(internal::plannerOptions(m_settings)), m_feedRelay(m_self) {
+      m_planner(internal::plannerOptions(m_settings)),
+      m_cold({m_settings.m_coldOverage, m_settings.m_coldSlack}),
+      m_feedRelay(m_self) {
   m_pool = std::make_unique<HttpClientPool>(
       m_loop, ClientConnectionOptions(),
       [this] { m_metrics.increment("turmericdyke_target_connects_total"); });
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -21,6 +21,7 @@
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 #include "turmericdyke/src/Feed/FeedRelay.h"
 #include "turmericdyke/src/Feed/LimitRecords.h"
+#include "turmericdyke/src/Groups/ColdTargets.h"
 #include "turmericdyke/src/Groups/ServerDirectory.h"
 #include "turmericdyke/src/Http/HttpServer.h"
 #include "turmericdyke/src/Node/Bootstrap.h"
@@ -151,6 +152,13 @@
   /// Updates the suspect lists of the feed.
   void updateSuspects();
   void publishTargets();
+  /// Decides how the rates of cold targets are shared, and logs and counts the
+  /// targets that have become cold or warm.
+  void updateColdTargets(std::vector<ServingTarget> &Targets);
+  /// Whether the rates of targets that become cold now are lent to entry nodes.
+  bool mayLendColdRates() const;
+  /// Notes when the first request ran.
+  void noteRequests(Instant Now, bool Run);
   std::vector<ServingTarget> servingTargets() const;
   FeedContext feedContext() const;
   void pushFeed();
@@ -229,6 +237,9 @@
   bool m_settled = false;
   /// Requests have run, under this leader or an earlier one.
   bool m_trafficSeen = false;
+  /// When the first request ran; see `coldUntil`.
+  Instant m_requestsSince = absl::InfiniteFuture();
+  ColdTargets m_cold;
   /// For each other coordinator, the directory change up to which it was sent
   /// the list.
   std::map<NodeId, std::uint64_t> m_directorySent;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -86,6 +86,7 @@
   m_planner.stop();
   m_crashes.reset();
   m_limits.clear();
+  m_cold.clear();
   m_feed.reset();
   m_feedRelay.reset();
 }
@@ -175,6 +176,8 @@
     Input.m_catalog = &m_catalog;
     // A leader that inherits nothing does not know whether requests have run.
     Input.m_trafficSeen = m_trafficSeen || (m_fencingToken > 1 && !m_inherited);
+    noteRequests(Now, Input.m_trafficSeen);
+    Input.m_requestsSince = m_requestsSince;
     Input.m_progress = m_progress;
     Input.m_settled = m_settled;
     for (const GroupOrder &Order : m_planner.step(Now, Input))
@@ -300,7 +303,8 @@
         {Group.head(), Group.m_service, Head->m_announcement.m_address,
          Head->m_announcement.m_failureDomain, Group.m_model,
          Service->m_engine->m_slots, Epoch,
-         static_cast<std::uint64_t>(Head->m_announcement.m_startMillis)});
+         static_cast<std::uint64_t>(Head->m_announcement.m_startMillis),
+         m_cold.rate(Now, *Head, *Service, m_requestsSince)});
   }
   for (const auto &[Id, Server] : m_servers.all()) {
     const ServerAnnouncement &Announcement = Server.m_announcement;
@@ -311,13 +315,16 @@
     auto Started = static_cast<std::uint64_t>(Announcement.m_startMillis);
     Targets.push_back({Id, Announcement.m_service, Announcement.m_address,
                        Announcement.m_failureDomain, "", Announcement.m_slots,
-                       Started, Started});
+                       Started, Started,
+                       m_cold.rate(Now, Server, *Service, m_requestsSince)});
   }
   return Targets;
 }
 
 void CoordinatorNode::publishTargets() {
-  m_feed.setTargets(servingTargets());
+  std::vector<ServingTarget> Targets = servingTargets();
+  updateColdTargets(Targets);
+  m_feed.setTargets(Targets);
   pushFeed();
 }
 
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
@@ -35,6 +35,11 @@
   absl::Duration m_stopGrace = absl::Seconds(8);
   /// How long a head that has lost a member goes on before it gives up.
   absl::Duration m_headStall = absl::Seconds(4);
+  /// A cold server may get, in any second, this multiple of the rate that it
+  /// can take, and `m_coldSlack` requests. Without a stated bound it gets no
+  /// more than that rate.
+  double m_coldOverage = 1;
+  double m_coldSlack = 0;
 };
 
 } // namespace turmericdyke
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -157,6 +157,7 @@
   bool Engines = m_routes->catalog().service(m_service)->m_engine.has_value();
   std::vector<PlacementOption> Options;
   Instant Reopens = absl::InfiniteFuture();
+  m_coldClosed = 0;
   m_services.m_signals.setNodes(m_services.m_feed.possibleEntryNodes());
   for (const auto &[Id, Target] : m_services.m_feed.targets()) {
     if (Target.m_service != m_service ||
@@ -165,7 +166,13 @@
       continue;
     Instant NextUse =
         m_services.m_signals.nextUse(Now, Target, m_services.m_random);
+    bool Closed = NextUse > Now;
+    if (Closed)
+      NextUse =
+          m_services.m_signals.expectedUse(Now, Target, m_services.m_random);
     Reopens = std::min(Reopens, NextUse);
+    m_coldClosed +=
+        Closed && m_services.m_signals.coldRate(Now, Target) ? 1 : 0;
     if (m_tried.count(Id) > 0)
       continue;
     PlacementOption Option;
@@ -174,7 +181,7 @@
     Option.m_ownRequests = Used == m_services.m_uses.end() ? 0 : Used->second;
     Option.m_otherRequests = m_services.m_feed.requestsOfOthers(Id);
     Option.m_otherRequestsAge = Now - m_services.m_feed.othersUpdatedAt();
-    Option.m_closed = NextUse > Now;
+    Option.m_closed = Closed;
     Option.m_avoided = m_services.m_health.isAvoided(Now, Id);
     Option.m_quiet = m_services.m_stalls.isQuiet(Now, Id);
     Options.push_back(Option);
@@ -278,6 +285,8 @@
   if (Decision.m_outcome == PlacementOutcome::Placed)
     return attemptAt(*Options[Decision.m_index].m_target);
   logNotPlaced(Options, Decision);
+  if (m_coldClosed > 0)
+    m_services.m_metrics.increment("turmericdyke_cold_refusals_total");
   if (m_mayHaveRun)
     return refuse(Refusal::MayHaveRun);
   refuse(Decision.m_outcome == PlacementOutcome::NoTarget
@@ -670,6 +679,7 @@
       .field("closed",
              std::count_if(Options.begin(), Options.end(),
                            [](const auto &Option) { return Option.m_closed; }))
+      .field("cold_closed", m_coldClosed)
       .field("least_load", Decision.m_load)
       .field("attempts", m_attempts)
       .field("feed_term", m_services.m_feed.term())
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -152,6 +152,8 @@
   bool m_offered = false;
   std::set<TargetId> m_tried;
   Instant m_reopens = absl::InfiniteFuture();
+  /// Targets that took no request because they are cold.
+  std::int64_t m_coldClosed = 0;
   bool m_mayHaveRun = false;
   bool m_callerGone = false;
   bool m_done = false;
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -401,6 +401,9 @@
     applySuspects(*Change.m_suspects);
   if (Change.m_limits)
     m_services->m_signals.learn(Now, *Change.m_limits);
+  m_services->m_signals.setLeaderHeard(m_feed->lastResponse());
+  m_services->m_signals.takeGrants(Change.m_coldGrantsUntil,
+                                   Change.m_coldGrants);
   if (Change.m_targetsChanged)
     m_services->m_signals.retain(m_feed->targets());
   updateInformed();
@@ -442,6 +445,7 @@
       .field("version", Version)
       .field("routes", Parsed.value().m_routes.size())
       .field("customers", Parsed.value().m_customers.size());
+  m_services->m_signals.setServices(Parsed.value().m_services);
   m_services->m_routes =
       std::make_shared<const RouteTable>(std::move(Parsed).value());
 }
--- a/packages/entry/turmericdyke/src/Entry/TargetAttempt.cpp
+++ b/packages/entry/turmericdyke/src/Entry/TargetAttempt.cpp
@@ -23,6 +23,8 @@
 void TargetAttempt::recordBegin(const AttemptRequest &Request) {
   ++m_services.m_uses[m_destination.m_id];
   m_services.m_signals.onSend(started(), m_destination.m_id);
+  if (m_services.m_signals.coldRate(started(), m_destination))
+    m_services.m_metrics.increment("turmericdyke_cold_requests_total");
   m_stallTracked = Request.m_route.m_kind == RouteKind::Stream;
   if (m_stallTracked)
     m_services.m_stalls.streamStarted(started(), m_destination.m_id,
@@ -80,6 +82,15 @@
         .field("instance", m_destination.m_instance)
         .field("ms", absl::ToInt64Milliseconds(*Signal.m_pause));
   }
+  if (News.m_cold) {
+    m_services.m_metrics.increment("turmericdyke_target_signals_total",
+                                   {{"signal", "cold"}});
+    LogLine(LogLevel::Info, "target_cold_heard")
+        .field("request", m_requestId)
+        .field("target", m_destination.m_id)
+        .field("instance", m_destination.m_instance)
+        .field("ms", absl::ToInt64Milliseconds(*Signal.m_coldFor));
+  }
   if (News.m_leaving) {
     m_services.m_metrics.increment("turmericdyke_target_signals_total",
                                    {{"signal", "leaving"}});
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -120,10 +120,12 @@
   applyEntries(Now, std::max<std::int64_t>(1, Update.m_entries));
   // The state was confirmed by the leader no earlier than `Age` before the
   // relay responded, and the request was sent before that.
-  if (Update.m_echoMicros > 0)
-    m_leaseUntil =
-        std::max(m_leaseUntil, absl::FromUnixMicros(Update.m_echoMicros) - Age +
-                                   m_options.m_lease);
+  if (Update.m_echoMicros > 0) {
+    Instant Asked = absl::FromUnixMicros(Update.m_echoMicros);
+    m_leaseUntil = std::max(m_leaseUntil, Asked - Age + m_options.m_lease);
+    Change.m_coldGrants = Update.m_coldGrants;
+    Change.m_coldGrantsUntil = Asked + ColdGrantLifetime;
+  }
   if (Update.m_routingVersion > m_routingVersion &&
       !Update.m_routingDocument.empty()) {
     Change.m_routingDocument =
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -45,6 +45,9 @@
   std::optional<SuspectLists> m_suspects;
   /// Set if the limits of targets have changed.
   std::optional<TargetLimitList> m_limits;
+  /// Permissions for cold targets, and until when they may be used.
+  std::vector<ColdGrant> m_coldGrants;
+  Instant m_coldGrantsUntil;
   /// The term or the leader has changed.
   bool m_leaderChanged = false;
 };
@@ -81,6 +84,8 @@
 
   /// Until when the routing document on this node is known to be the newest.
   Instant leaseUntil() const { return m_leaseUntil; }
+  /// When the leader or a relay last responded.
+  Instant lastResponse() const { return m_lastResponse; }
   std::uint64_t term() const { return m_term; }
   const NodeId &leader() const { return m_leader; }
   /// The coordinator that requests are sent to; empty if none is known.
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -269,9 +269,16 @@
   if (!Context.m_routingConfirmed ||
       (!State.m_relay && State.m_routingVersion < Context.m_routingVersion))
     Update.m_echoMicros = 0;
+  if (Context.m_leads && Update.m_echoMicros > 0)
+    Update.m_coldGrants = m_coldGrants.grant(Now, Request);
   return Update;
 }
 
+bool FeedPublisher::hasRelays() const {
+  return std::any_of(m_subscribers.begin(), m_subscribers.end(),
+                     [](const auto &Entry) { return Entry.second.m_relay; });
+}
+
 std::map<NodeId, FeedUpdate>
 FeedPublisher::pendingUpdates(Instant Now, const FeedContext &Context) {
   std::map<NodeId, FeedUpdate> Updates;
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
@@ -7,6 +7,7 @@
 
 #include "absl/types/span.h"
 #include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Feed/ColdGrants.h"
 #include "turmericdyke/src/Feed/FeedAssignment.h"
 #include "turmericdyke/src/Feed/PeerDirectory.h"
 #include "turmericdyke/src/Fleet/FeedMessage.h"
@@ -73,6 +74,10 @@
   /// Requests of this coordinator's entry nodes at each target.
   const std::map<TargetId, std::int64_t> &uses() const { return m_uses; }
 
+  ColdGrants &coldGrants() { return m_coldGrants; }
+  /// Whether entry nodes are fed by way of another coordinator.
+  bool hasRelays() const;
+
   PeerDirectory &peers() { return m_peers; }
   const PeerDirectory &peers() const { return m_peers; }
 
@@ -140,6 +145,7 @@
   Instant m_usesEncodedAt = absl::InfinitePast();
   Instant m_silentRemovedAt = absl::InfinitePast();
   PeerDirectory m_peers;
+  ColdGrants m_coldGrants;
   bool m_trafficSeen = false;
   /// The compressed routing document of this version, shared by all nodes.
   std::uint64_t m_compressedVersion = 0;
--- a/packages/fleet/turmericdyke/src/Fleet/DirectoryMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/DirectoryMessage.cpp
@@ -1,6 +1,8 @@
 #include "turmericdyke/src/Fleet/DirectoryMessage.h"
 
+#include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include "turmericdyke/src/Fleet/JsonReader.h"
@@ -15,7 +17,10 @@
 constexpr std::string_view StateNames[] = {"joining", "ready", "open",
                                            "closing", "broken"};
 
-Json announcementJson(const ServerAnnouncement &Announcement) {
+/// Longer times are mistakes. Those of a sound server are below an hour.
+constexpr std::int64_t MaxColdMicros = 24LL * 3600 * 1000 * 1000;
+
+Json announcementJson(const ServerAnnouncement &Announcement, Instant Now) {
   Json Value = {{"id", Announcement.m_id.str()},
                 {"service", Announcement.m_service.str()},
                 {"address", Announcement.m_address},
@@ -32,12 +37,18 @@
                       {"epoch", Announcement.m_group->m_epoch},
                       {"rank", Announcement.m_group->m_rank},
                       {"state", nameOf(Announcement.m_group->m_state)}};
+  if (Announcement.m_coldUntil)
+    Value["cold_us"] = absl::ToInt64Microseconds(
+        std::max(absl::ZeroDuration(), *Announcement.m_coldUntil - Now));
   return Value;
 }
 
-Json serverCopyJson(const ServerCopy &Copy) {
-  Json Value = announcementJson(Copy.m_announcement);
+Json serverCopyJson(const ServerCopy &Copy, Instant Now) {
+  Json Value = announcementJson(Copy.m_announcement, Now);
   Value["in_memory"] = Copy.m_modelInMemory;
+  if (Copy.m_countsAsStarted != absl::InfinitePast())
+    Value["counts_as_started_us"] =
+        absl::ToInt64Microseconds(Copy.m_countsAsStarted - Now);
   return Value;
 }
 
@@ -85,6 +96,22 @@
   Group = std::move(Read);
 }
 
+/// Reads times from `DirectoryUpdate::m_now`, which is 0 in a parsed message.
+void readTimes(JsonReader &Reader, ServerCopy &Copy) {
+  std::int64_t Cold = -1;
+  constexpr std::int64_t NotStated = std::numeric_limits<std::int64_t>::min();
+  std::int64_t Started = NotStated;
+  Reader.number("cold_us", Cold).number("counts_as_started_us", Started);
+  // A time out of range is left out; the server is as sound as without it.
+  if (Cold == 0)
+    Copy.m_announcement.m_coldUntil = absl::InfinitePast();
+  else if (Cold > 0 && Cold <= MaxColdMicros)
+    Copy.m_announcement.m_coldUntil =
+        absl::UnixEpoch() + absl::Microseconds(Cold);
+  if (Started != NotStated)
+    Copy.m_countsAsStarted = absl::UnixEpoch() + absl::Microseconds(Started);
+}
+
 std::optional<ServerCopy> readServerCopy(const Json &Value) {
   ServerCopy Read;
   ServerAnnouncement &Announcement = Read.m_announcement;
@@ -102,6 +129,7 @@
       .text("in_memory", Read.m_modelInMemory);
   readStrings(Reader, "staged", Announcement.m_stagedModels);
   readGroup(Reader, Announcement.m_group);
+  readTimes(Reader, Read);
   if (Reader.error() || validateAnnouncement(Announcement))
     return std::nullopt;
   return Read;
@@ -130,13 +158,41 @@
   return List->size() - Entries.size();
 }
 
+/// Moves an instant, but not one that stands for never.
+void move(Instant &Value, absl::Duration By) { Value += By; }
+
+void move(ServerAnnouncement &Value, absl::Duration By) {
+  if (Value.m_coldUntil)
+    move(*Value.m_coldUntil, By);
+}
+
+void move(ServerCopy &Value, absl::Duration By) {
+  move(Value.m_announcement, By);
+  move(Value.m_countsAsStarted, By);
+}
+
+template <class Message, class Entry>
+void moveClock(Message &Moved, std::vector<Entry> &Entries, Instant Now) {
+  for (Entry &Each : Entries)
+    move(Each, Now - Moved.m_now);
+  Moved.m_now = Now;
+}
+
 } // namespace
 } // namespace internal
 
+void setClock(DirectoryUpdate &Message, Instant Now) {
+  internal::moveClock(Message, Message.m_servers, Now);
+}
+
+void setClock(AnnouncementBatch &Message, Instant Now) {
+  internal::moveClock(Message, Message.m_changed, Now);
+}
+
 nlohmann::json toJson(const AnnouncementBatch &Message) {
   internal::Json Changed = internal::Json::array();
   for (const ServerAnnouncement &Announcement : Message.m_changed)
-    Changed.push_back(internal::announcementJson(Announcement));
+    Changed.push_back(internal::announcementJson(Announcement, Message.m_now));
   internal::Json Unchanged = internal::Json::array();
   for (const ServerHeard &Heard : Message.m_unchanged)
     Unchanged.push_back(internal::heardJson(Heard));
@@ -162,7 +218,7 @@
 nlohmann::json toJson(const DirectoryUpdate &Message) {
   internal::Json Servers = internal::Json::array();
   for (const ServerCopy &Copy : Message.m_servers)
-    Servers.push_back(internal::serverCopyJson(Copy));
+    Servers.push_back(internal::serverCopyJson(Copy, Message.m_now));
   internal::Json Removed = internal::Json::array();
   for (const TargetId &Id : Message.m_removed)
     Removed.push_back(Id.str());
--- a/packages/fleet/turmericdyke/src/Fleet/DirectoryMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/DirectoryMessage.h
@@ -18,6 +18,9 @@
   ServerAnnouncement m_announcement;
   /// The model that this instance of the server was last ready with.
   std::string m_modelInMemory;
+  /// From when the server counts as started, on the clock of this process; see
+  /// `ServerRecord`. In the infinite past if it does not matter.
+  Instant m_countsAsStarted = absl::InfinitePast();
 };
 
 /// Sent by the leader to a coordinator that may succeed it: the changes to the
@@ -38,6 +41,8 @@
   bool m_trafficSeen = false;
   std::vector<ServerCopy> m_servers;
   std::vector<TargetId> m_removed;
+  /// The instant that times of the message count from; see `setClock`.
+  Instant m_now = absl::UnixEpoch();
   /// Entries of a received message that were left out because they are
   /// malformed. Not sent.
   std::size_t m_malformed = 0;
@@ -57,11 +62,20 @@
   std::uint64_t m_term = 0;
   std::vector<ServerAnnouncement> m_changed;
   std::vector<ServerHeard> m_unchanged;
+  /// The instant that times of the message count from; see `setClock`.
+  Instant m_now = absl::UnixEpoch();
   /// Entries of a received message that were left out because they are
   /// malformed. Not sent.
   std::size_t m_malformed = 0;
 };
 
+/// Instants of two hosts must not be compared, so messages state them as times
+/// from `m_now`. The sender sets that to its present time before it encodes the
+/// message. The receiver calls this with its own present time after it has
+/// parsed the message, which makes its instants those of the receiver's clock.
+void setClock(DirectoryUpdate &Message, Instant Now);
+void setClock(AnnouncementBatch &Message, Instant Now);
+
 nlohmann::json toJson(const DirectoryUpdate &Message);
 nlohmann::json toJson(const AnnouncementBatch &Message);
 
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -19,10 +19,15 @@
   return {{"t", Value.m_target.str()}, {"n", Value.m_requests}};
 }
 Json entryJson(const ServingTarget &Value) {
-  return {{"t", Value.m_id.str()},   {"s", Value.m_service.str()},
-          {"a", Value.m_address},    {"d", Value.m_failureDomain.str()},
-          {"m", Value.m_model},      {"n", Value.m_slots},
-          {"g", Value.m_generation}, {"b", Value.m_instance}};
+  Json Object = {{"t", Value.m_id.str()},   {"s", Value.m_service.str()},
+                 {"a", Value.m_address},    {"d", Value.m_failureDomain.str()},
+                 {"m", Value.m_model},      {"n", Value.m_slots},
+                 {"g", Value.m_generation}, {"b", Value.m_instance}};
+  if (Value.m_coldPerSecond)
+    Object["c"] = *Value.m_coldPerSecond;
+  if (Value.m_coldLent)
+    Object["l"] = true;
+  return Object;
 }
 
 Json entryJson(const TargetLimit &Value) {
@@ -34,6 +39,10 @@
   return Object;
 }
 
+Json entryJson(const ColdGrant &Value) {
+  return {{"t", Value.m_target.str()}, {"g", Value.m_generation}};
+}
+
 Json entryJson(const EntryPeer &Value) {
   return {{"n", Value.m_node.str()},
           {"a", Value.m_relayAddress},
@@ -78,6 +87,7 @@
 std::optional<ServingTarget> readServingTarget(const Json &Value) {
   ServingTarget Entry;
   JsonReader Reader(Value);
+  double ColdPerSecond = 0;
   Reader.id("t", Entry.m_id, true)
       .id("s", Entry.m_service, true)
       .text("a", Entry.m_address, true)
@@ -85,9 +95,13 @@
       .text("m", Entry.m_model)
       .number("n", Entry.m_slots)
       .number("g", Entry.m_generation)
-      .number("b", Entry.m_instance);
+      .number("b", Entry.m_instance)
+      .real("c", ColdPerSecond)
+      .flag("l", Entry.m_coldLent);
   if (Reader.error() || validateServingTarget(Entry))
     return std::nullopt;
+  if (ColdPerSecond > 0)
+    Entry.m_coldPerSecond = ColdPerSecond;
   return Entry;
 }
 
@@ -103,6 +117,12 @@
   propagateError(Reader, Outer);
 }
 
+void readEntry(const Json &Value, ColdGrant &Entry, JsonReader &Outer) {
+  JsonReader Reader(Value);
+  Reader.id("t", Entry.m_target, true).number("g", Entry.m_generation);
+  propagateError(Reader, Outer);
+}
+
 void readEntry(const Json &Value, EntryPeer &Entry, JsonReader &Outer) {
   JsonReader Reader(Value);
   Reader.id("n", Entry.m_node, true)
@@ -326,6 +346,8 @@
     Object["limits"] = {
         {"version", Message.m_limits->m_version},
         {"limits", internal::listJson(Message.m_limits->m_limits)}};
+  if (!Message.m_coldGrants.empty())
+    Object["cold_grants"] = internal::listJson(Message.m_coldGrants);
   if (Message.m_peers)
     Object["peers"] = internal::peerListJson(*Message.m_peers);
   if (Message.m_offeredVersion != 0)
@@ -399,6 +421,7 @@
   internal::readList(Reader, "coordinators", Read.m_coordinators);
   internal::readTargets(Reader, Read);
   internal::readList(Reader, "removed", Read.m_removed);
+  internal::readList(Reader, "cold_grants", Read.m_coldGrants);
   if (const nlohmann::json *Lists = Reader.object("suspect_keys"))
     Read.m_suspects = internal::readSuspectLists(*Lists, Reader);
   if (const nlohmann::json *Limits = Reader.object("limits"))
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -11,6 +11,7 @@
 #include "absl/types/span.h"
 #include "turmericdyke/src/Base/Result.h"
 #include "turmericdyke/src/Base/StringId.h"
+#include "turmericdyke/src/Fleet/ColdGrant.h"
 #include "turmericdyke/src/Fleet/CrashReport.h"
 #include "turmericdyke/src/Fleet/FleetError.h"
 #include "turmericdyke/src/Fleet/PeerList.h"
@@ -47,6 +48,13 @@
   /// When the server started, in Unix milliseconds; 0 if unknown. Distinguishes
   /// it from earlier servers with the same identifier.
   std::uint64_t m_instance = 0;
+  /// Requests a second that all entry nodes together may send while the server
+  /// is cold; nothing if it is not known to be cold. Half of what it must not
+  /// get in any second, see `coldShare`.
+  std::optional<double> m_coldPerSecond = std::nullopt;
+  /// The leader lends that rate by grants. A node takes an equal part of it
+  /// only while it does not hear from the leader.
+  bool m_coldLent = false;
 
   friend bool operator==(const ServingTarget &,
                          const ServingTarget &) = default;
@@ -149,6 +157,8 @@
   std::optional<SuspectLists> m_suspects;
   /// Set if the receiver holds another version.
   std::optional<TargetLimitList> m_limits;
+  /// Permissions for cold targets, for the receiver alone.
+  std::vector<ColdGrant> m_coldGrants;
   /// Set if the receiver holds another version.
   std::optional<PeerList> m_peers;
   /// Version of the receiver's own peers that the sender holds; for a relay.
--- a/packages/fleet/turmericdyke/src/Fleet/ServerAnnouncement.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/ServerAnnouncement.cpp
@@ -22,6 +22,17 @@
       .number("group/rank", Group->m_rank, GroupMembership::MaxMembers - 1);
 }
 
+bool sameColdTime(const std::optional<Instant> &Known,
+                  const std::optional<Instant> &Later) {
+  if (!Later)
+    return true;
+  Instant Before = Known.value_or(absl::InfinitePast());
+  if (Before == absl::InfinitePast() || *Later == absl::InfinitePast())
+    return Before == *Later;
+  return absl::AbsDuration(*Later - Before) <=
+         ServerAnnouncement::ColdTolerance;
+}
+
 } // namespace
 } // namespace internal
 
@@ -32,7 +43,8 @@
 }
 
 bool sameContent(const ServerAnnouncement &A, const ServerAnnouncement &B) {
-  return A.m_startMillis == B.m_startMillis && A.m_service == B.m_service &&
+  return internal::sameColdTime(A.m_coldUntil, B.m_coldUntil) &&
+         A.m_startMillis == B.m_startMillis && A.m_service == B.m_service &&
          A.m_address == B.m_address && A.m_draining == B.m_draining &&
          A.m_group == B.m_group && A.m_model == B.m_model &&
          A.m_stagedModels == B.m_stagedModels && A.m_slots == B.m_slots;
--- a/packages/fleet/turmericdyke/src/Fleet/ServerAnnouncement.h
+++ b/packages/fleet/turmericdyke/src/Fleet/ServerAnnouncement.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Base/StringId.h"
 #include "turmericdyke/src/Fleet/FleetError.h"
 
@@ -68,6 +69,11 @@
 struct ServerAnnouncement {
   static constexpr std::int64_t MaxSlots = 1 << 20;
   static constexpr std::size_t MaxStagedModels = 256;
+  /// A server warms up within seconds; a longer time is a mistake.
+  static constexpr absl::Duration MaxColdTime = absl::Hours(1);
+  /// Two deadlines that differ by less are the same statement, made at another
+  /// time and with another delay.
+  static constexpr absl::Duration ColdTolerance = absl::Milliseconds(500);
 
   TargetId m_id;
   ServiceId m_service;
@@ -88,11 +94,18 @@
   /// The model that it has loaded for its group.
   std::string m_model;
   std::optional<GroupMembership> m_group;
+  /// Until when the server stays cold, on the clock of this process; in the
+  /// infinite past if it states that it is warm, nothing if it is not known.
+  std::optional<Instant> m_coldUntil = std::nullopt;
 };
 
-/// Whether two announcements of a server state the same, apart from their
-/// sequence numbers.
-bool sameContent(const ServerAnnouncement &A, const ServerAnnouncement &B);
+/// Whether a later announcement of a server states what is known, apart from
+/// the sequence number. The time that a cold server has left is no change while
+/// it shrinks. A missing statement of it is none, and an unknown server that is
+/// warm is taken as known: a leader of an earlier version knows of no cold
+/// servers, and would otherwise be sent every announcement in full.
+bool sameContent(const ServerAnnouncement &Known,
+                 const ServerAnnouncement &Later);
 
 /// Checks the range of each value: names, numbers, and an address that can be
 /// connected to. Returns what is wrong, or nullopt. Servers are written by
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -8,6 +8,9 @@
 
 #include <fmt/format.h>
 
+#include "turmericdyke/src/Groups/ColdServer.h"
+#include "turmericdyke/src/Groups/HeadChoice.h"
+
 namespace turmericdyke {
 
 namespace internal {
@@ -590,6 +593,15 @@
                fmt::format("servers needed for a group of {}", Model.m_name));
 }
 
+void GroupPlanner::putHeadFirst(
+    const ServiceEntry &Service,
+    absl::Span<const ServerRecord *> Members) const {
+  std::vector<Instant> ColdUntil;
+  for (const ServerRecord *Server : Members)
+    ColdUntil.push_back(coldUntil(*Server, Service, m_input->m_requestsSince));
+  std::swap(Members.front(), Members[chooseHead(m_now, ColdUntil)]);
+}
+
 bool GroupPlanner::formGroup(const ServiceEntry &Service,
                              const EngineModel &Model, FreeServers &Free) {
   std::vector<const ServerRecord *> *Best = nullptr;
@@ -636,6 +648,7 @@
                      return A->holdsWeights(Model.m_name) >
                             B->holdsWeights(Model.m_name);
                    });
+  putHeadFirst(Service, absl::MakeSpan(*Best).first(Model.m_members));
   m_reserved.erase(BestDomain);
   Group G;
   G.m_epoch = m_nextEpoch++;
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -114,6 +114,8 @@
   bool m_settled = true;
   /// Requests have run. Before the first one, loads are not rate-limited.
   bool m_trafficSeen = false;
+  /// When the first request ran; see `coldUntil`.
+  Instant m_requestsSince = absl::InfiniteFuture();
 };
 
 /// Forms groups of servers that serve one model together, opens them, and
@@ -208,6 +210,9 @@
   ModelBalance modelBalance(const ServiceEntry &Service) const;
   bool formGroup(const ServiceEntry &Service, const EngineModel &Model,
                  FreeServers &Free);
+  /// Moves the head that is chosen to the front.
+  void putHeadFirst(const ServiceEntry &Service,
+                    absl::Span<const ServerRecord *> Members) const;
   /// Whether forming a group that needs loads would use up the spares.
   bool wouldUseSpares(const ServiceEntry &Service, const EngineModel &Model,
                       const FreeServers &Free, std::int64_t Loads) const;
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
@@ -10,10 +10,24 @@
 /// How long a withdrawn incarnation is remembered. Announcements may be late by
 /// seconds.
 constexpr absl::Duration WithdrawnRetention = absl::Seconds(60);
+/// A server that was not heard from for so long may have been cold since: two
+/// and a half announcement intervals of 1.2 s. Servers that miss one interval
+/// are probed, so a sound one that can be reached is not silent that long.
+constexpr absl::Duration Silence = absl::Seconds(3);
+/// The first announcement after a start may have been made before the server
+/// knew that it is cold. The next one follows 1.2 s later.
+constexpr absl::Duration StartStatementAge = absl::Seconds(1);
 
 } // namespace
 } // namespace internal
 
+void ServerRecord::stateCold(Instant Now, Instant Until) {
+  // A server that states that it is warm has been cold until now.
+  m_coldUntil = Until > Now ? Until : std::min(m_coldUntil, Now);
+  if (Now - m_countsAsStarted >= internal::StartStatementAge)
+    m_startStatedAt = std::min(m_startStatedAt, Now);
+}
+
 bool ServerRecord::holdsWeights(std::string_view Model) const {
   const std::vector<std::string> &Staged = m_announcement.m_stagedModels;
   return m_modelInMemory == Model ||
@@ -66,9 +80,20 @@
   auto [At, New] = m_servers.try_emplace(Value.m_id);
   ServerRecord &Record = At->second;
   bool Same = !New && sameContent(Record.m_announcement, Value);
-  if (Record.m_announcement.m_startMillis != Value.m_startMillis)
+  if (New || Record.m_announcement.m_startMillis != Value.m_startMillis) {
     Record.m_modelInMemory.clear();
+    Record.m_announcement.m_coldUntil.reset();
+    Record.m_coldUntil = absl::InfinitePast();
+    Record.countAsStarted(Now);
+  }
+  hear(Now, Record);
+  std::optional<Instant> Stated = Value.m_coldUntil;
+  if (Stated)
+    Record.stateCold(Now, *Stated);
+  else
+    Stated = Record.m_announcement.m_coldUntil;
   Record.m_announcement = Value;
+  Record.m_announcement.m_coldUntil = Stated;
   Record.m_inherited = false;
   if (!Same) {
     Record.m_changeSequence = ++m_sequence;
@@ -76,7 +101,6 @@
   }
   if (Value.m_group && Value.m_group->m_state != MemberState::Joining)
     Record.m_modelInMemory = Value.m_model;
-  Record.heard(Now);
   return Same ? AnnouncementResult::Unchanged : AnnouncementResult::Changed;
 }
 
@@ -91,10 +115,30 @@
     return false;
   Announcement.m_sequence = Heard.m_sequence;
   Record.m_inherited = false;
-  Record.heard(Now);
+  hear(Now, Record);
   return true;
 }
 
+void ServerDirectory::hear(Instant Now, ServerRecord &Record) {
+  if (Record.m_lastHeard != absl::InfinitePast() &&
+      Now - Record.m_lastHeard >= internal::Silence) {
+    Record.countAsStarted(Now);
+    Record.m_changeSequence = ++m_sequence;
+  }
+  Record.heard(Now);
+}
+
+void ServerDirectory::countAsStarted(const FailureDomainId &Domain,
+                                     Instant From) {
+  for (auto &[Id, Record] : m_servers) {
+    if (Record.m_announcement.m_failureDomain != Domain ||
+        Record.m_countsAsStarted >= From)
+      continue;
+    Record.countAsStarted(From);
+    Record.m_changeSequence = ++m_sequence;
+  }
+}
+
 bool ServerDirectory::withdraw(Instant Now, const TargetId &Id) {
   auto Found = m_servers.find(Id);
   if (Found == m_servers.end())
@@ -111,7 +155,7 @@
 void ServerDirectory::probeAnswered(Instant Now, const TargetId &Id) {
   auto Found = m_servers.find(Id);
   if (Found != m_servers.end())
-    Found->second.heard(Now);
+    hear(Now, Found->second);
 }
 
 void ServerDirectory::probeFailed(Instant SentAt, const TargetId &Id,
@@ -156,6 +200,9 @@
     ServerRecord Record;
     Record.m_announcement = Copy.m_announcement;
     Record.m_modelInMemory = Copy.m_modelInMemory;
+    Record.m_coldUntil =
+        Copy.m_announcement.m_coldUntil.value_or(absl::InfinitePast());
+    Record.m_countsAsStarted = Copy.m_countsAsStarted;
     Record.m_lastHeard = Now;
     Record.m_inherited = true;
     Record.m_changeSequence = ++m_sequence;
@@ -219,7 +266,10 @@
     Update.m_sequence = Changed;
     if (const ServerRecord *Record = find(Id))
       Update.m_servers.push_back(
-          {Record->m_announcement, Record->m_modelInMemory});
+          {Record->m_announcement, Record->m_modelInMemory,
+           Record->m_startStatedAt == absl::InfiniteFuture()
+               ? Record->m_countsAsStarted
+               : absl::InfinitePast()});
     else
       Update.m_removed.push_back(Id);
   }
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -47,6 +47,14 @@
   /// Known only from an earlier leader: this node has not heard from the server
   /// yet.
   bool m_inherited = false;
+  /// Until when this instance of the server stays cold, by its own statements.
+  Instant m_coldUntil = absl::InfinitePast();
+  /// From when the server counts as started: it was heard from for the first
+  /// time, or again after a silence, or was used again after a pause.
+  Instant m_countsAsStarted = absl::InfinitePast();
+  /// When the server first stated how long it stays cold, long enough after
+  /// that.
+  Instant m_startStatedAt = absl::InfiniteFuture();
   /// Sequence number of the directory change that last modified this record.
   std::uint64_t m_changeSequence = 0;
 
@@ -64,6 +72,13 @@
   bool isLost(Instant Now, absl::Duration SilentFor) const {
     return Now - m_lastHeard >= SilentFor || failsProbes(Now);
   }
+  /// The server may have become cold at `From`, whatever it has stated so far.
+  void countAsStarted(Instant From) {
+    m_countsAsStarted = From;
+    m_startStatedAt = absl::InfiniteFuture();
+  }
+  /// Takes the statement of an announcement that arrived at `Now`.
+  void stateCold(Instant Now, Instant Until);
   /// Records a sign of life.
   void heard(Instant Now) {
     m_lastHeard = Now;
@@ -111,6 +126,10 @@
   /// address.
   void applyReport(Instant Asked, Instant Now, const TargetId &Id,
                    const ServerReport &Report);
+  /// Has the servers of a failure domain count as started at `From`, when
+  /// requests are sent to them again after a pause. They count as cold for the
+  /// time that their service states, unless they state otherwise after `From`.
+  void countAsStarted(const FailureDomainId &Domain, Instant From);
   /// Removes servers that were silent for `SilentFor` and returns their
   /// identifiers.
   std::vector<TargetId> expire(Instant Now, absl::Duration SilentFor);
@@ -143,6 +162,8 @@
   bool isWithdrawn(const TargetId &Id, std::int64_t StartMillis) const;
   bool isStale(const ServerAnnouncement &Value) const;
   void claimAddress(const ServerAnnouncement &Value);
+  /// Records a sign of life. After a silence the server may be another one.
+  void hear(Instant Now, ServerRecord &Record);
   void erase(std::map<TargetId, ServerRecord>::iterator At);
 
   std::map<TargetId, ServerRecord> m_servers;
--- a/packages/serving/turmericdyke/src/Serving/TargetSignal.h
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignal.h
@@ -15,6 +15,8 @@
   bool m_leaving = false;
   /// It rejected the request and wants no other one from this node for so long.
   std::optional<absl::Duration> m_pause;
+  /// How much longer it stays cold; nothing if it does not say.
+  std::optional<absl::Duration> m_coldFor;
 };
 
 } // namespace turmericdyke
--- a/packages/serving/turmericdyke/src/Serving/TargetSignals.cpp
+++ b/packages/serving/turmericdyke/src/Serving/TargetSignals.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "turmericdyke/src/Catalog/Catalog.h"
+#include "turmericdyke/src/Feed/ColdShare.h"
 #include "turmericdyke/src/Fleet/FeedMessage.h"
 #include "turmericdyke/src/Serving/TargetSignal.h"
 
@@ -21,6 +23,13 @@
 /// from all nodes together. Without any, nobody would learn that it takes more
 /// again.
 constexpr double MinPerSecond = 0.25;
+/// Until the leader has told the nodes that a target is warm.
+constexpr absl::Duration WarmMargin = absl::Milliseconds(500);
+/// Grants come with the responses to requests at this interval.
+constexpr absl::Duration GrantInterval = absl::Milliseconds(250);
+/// A leader that is not heard for so long has been replaced, or does not reach
+/// this node. It reserves the equal parts of such nodes; see `ColdGrants`.
+constexpr absl::Duration LeaderSilence = absl::Seconds(2);
 
 } // namespace
 } // namespace internal
@@ -32,6 +41,7 @@
   News.m_limit = hearLimit(Now, SentAt, Target, Signal);
   News.m_leaving = Signal.m_leaving && hearLeaving(Now, Target);
   News.m_paused = Signal.m_pause && hearPause(Now, Target, *Signal.m_pause);
+  News.m_cold = Signal.m_coldFor && hearCold(Now, Target, *Signal.m_coldFor);
   return News;
 }
 
@@ -48,6 +58,41 @@
   return true;
 }
 
+bool TargetSignals::hearCold(Instant Now, const ServingTarget &Target,
+                             absl::Duration Remaining) {
+  bool Known = coldRate(Now, Target).has_value();
+  // A warm target ends what it has stated itself. What the leader publishes
+  // lasts until the leader takes it away.
+  if (Remaining <= absl::ZeroDuration())
+    m_coldHeard.erase(Target.m_id);
+  else if (m_coldServices.count(Target.m_service) > 0)
+    m_coldHeard[Target.m_id] = {Target.m_instance, Now + Remaining};
+  return !Known && coldRate(Now, Target).has_value();
+}
+
+std::optional<double>
+TargetSignals::coldRate(Instant Now, const ServingTarget &Target) const {
+  if (Target.m_coldPerSecond)
+    return Target.m_coldPerSecond;
+  auto Heard = m_coldHeard.find(Target.m_id);
+  auto Service = m_coldServices.find(Target.m_service);
+  if (Heard == m_coldHeard.end() || Service == m_coldServices.end() ||
+      Heard->second.m_instance != Target.m_instance ||
+      Heard->second.m_until <= Now)
+    return std::nullopt;
+  // The bounds on a cold server are settings of the coordinators. Half of the
+  // rate that it can take is within any of them.
+  return Service->second.m_perSecond / 2;
+}
+
+void TargetSignals::setServices(absl::Span<const ServiceEntry> Services) {
+  m_coldServices.clear();
+  for (const ServiceEntry &Service : Services)
+    if (Service.m_coldPerSecond > 0)
+      m_coldServices[Service.m_id] = {Service.m_coldStart,
+                                      Service.m_coldPerSecond};
+}
+
 Instant TargetSignals::pauseEnd(const ServingTarget &Target) const {
   auto Found = m_pauses.find(Target.m_id);
   bool Known =
@@ -105,6 +150,8 @@
     return Targets.count(Entry.first) == 0;
   };
   std::erase_if(m_heard, Unlisted);
+  std::erase_if(m_coldHeard, Unlisted);
+  std::erase_if(m_grants, Unlisted);
   std::erase_if(m_tokens, Unlisted);
 }
 
@@ -118,28 +165,89 @@
   return std::max(pauseEnd(Target), nextPermission(Now, Target, Random));
 }
 
+Instant TargetSignals::expectedUse(Instant Now, const ServingTarget &Target,
+                                   absl::BitGenRef Random) {
+  Instant Permission = nextPermission(Now, Target, Random);
+  auto Service = m_coldServices.find(Target.m_service);
+  if (Service != m_coldServices.end() && coldRate(Now, Target) &&
+      !limitOf(Target))
+    Permission = std::min(Permission,
+                          Now + Service->second.m_start + internal::WarmMargin);
+  return std::max(pauseEnd(Target), Permission);
+}
+
 Instant TargetSignals::nextPermission(Instant Now, const ServingTarget &Target,
                                       absl::BitGenRef Random) {
-  std::optional<double> Limit = limitOf(Target);
-  if (!Limit) {
+  bool Lent = isLent(Now, Target);
+  Instant Granted =
+      Lent && !hasGrant(Now, Target) ? Now + internal::GrantInterval : Now;
+  std::optional<ColdShare> Share = shareOf(Now, Target, Lent);
+  if (!Share) {
     m_tokens.erase(Target.m_id);
-    return Now;
+    return Granted;
   }
-  double PerSecond = std::max(*Limit, internal::MinPerSecond);
-  // Together the nodes hold at most what the target takes in a second, and one
-  // request, which matters where it takes less than one.
-  absl::Duration Lifetime = absl::Seconds(1 + 1 / PerSecond);
-  auto [At, New] = m_tokens.try_emplace(Target.m_id, Now, PerSecond / m_nodes,
-                                        Lifetime, Random);
+  auto [At, New] = m_tokens.try_emplace(Target.m_id, Now, Share->m_perSecond,
+                                        Share->m_lifetime, Random);
   if (!New)
-    At->second.setRate(Now, PerSecond / m_nodes, Lifetime);
-  return At->second.next(Now);
+    At->second.setRate(Now, Share->m_perSecond, Share->m_lifetime);
+  return std::max(Granted, At->second.next(Now));
+}
+
+bool TargetSignals::isLent(Instant Now, const ServingTarget &Target) const {
+  return Target.m_coldPerSecond && Target.m_coldLent &&
+         Now - m_leaderHeard < internal::LeaderSilence;
+}
+
+bool TargetSignals::hasGrant(Instant Now, const ServingTarget &Target) {
+  auto Found = m_grants.find(Target.m_id);
+  if (Found == m_grants.end())
+    return false;
+  std::erase_if(Found->second.m_until,
+                [Now](Instant Until) { return Until <= Now; });
+  return !Found->second.m_until.empty() &&
+         Found->second.m_generation == Target.m_generation;
+}
+
+void TargetSignals::takeGrants(Instant Until,
+                               absl::Span<const ColdGrant> Grants) {
+  for (const ColdGrant &Grant : Grants) {
+    Granted &Account = m_grants[Grant.m_target];
+    if (Account.m_generation != Grant.m_generation)
+      Account.m_until.clear();
+    Account.m_generation = Grant.m_generation;
+    Account.m_until.push_back(Until);
+  }
+}
+
+std::optional<ColdShare> TargetSignals::shareOf(Instant Now,
+                                                const ServingTarget &Target,
+                                                bool Lent) const {
+  std::optional<ColdShare> Share;
+  if (std::optional<double> Limit = limitOf(Target)) {
+    double PerSecond = std::max(*Limit, internal::MinPerSecond);
+    // Together the nodes hold at most what the target takes in a second, and
+    // one request, which matters where it takes less than one.
+    Share = {PerSecond / m_nodes, absl::Seconds(1 + 1 / PerSecond)};
+  }
+  std::optional<double> Cold = coldRate(Now, Target);
+  if (Cold && !Lent) {
+    ColdShare Lower = coldShare(*Cold, m_nodes);
+    if (Share) {
+      Lower.m_perSecond = std::min(Lower.m_perSecond, Share->m_perSecond);
+      Lower.m_lifetime = std::min(Lower.m_lifetime, Share->m_lifetime);
+    }
+    Share = Lower;
+  }
+  return Share;
 }
 
 void TargetSignals::onSend(Instant Now, const TargetId &Target) {
   auto Found = m_tokens.find(Target);
   if (Found != m_tokens.end())
     Found->second.take(Now);
+  auto Granted = m_grants.find(Target);
+  if (Granted != m_grants.end() && !Granted->second.m_until.empty())
+    Granted->second.m_until.pop_front();
 }
 
 void TargetSignals::addReports(Instant Now, FeedRequest &Request) {
