--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorEvacuations.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorEvacuations.cpp
@@ -127,6 +127,7 @@
         .field("failure_domain", Domain)
         .field("index", m_core->state().appliedIndex())
         .field("leads", m_ledTerm != 0);
+  coolReturnedServers();
   if (!leads() || m_ledTerm != m_core->raft().term())
     return;
   // Planning may pause for up to 100 ms after an expensive step.
@@ -134,6 +135,12 @@
   schedulePlan();
 }
 
+void CoordinatorNode::coolReturnedServers() {
+  for (const auto &[Domain, Record] : m_core->state().evacuations())
+    if (std::optional<Instant> Ended = m_evacuated.endedAt(Domain))
+      m_servers.countAsStarted(Domain, *Ended);
+}
+
 std::vector<TargetId> CoordinatorNode::evacuatedServers() const {
   std::vector<TargetId> Servers;
   if (m_evacuated.size() > 0)
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -21,6 +21,7 @@
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 #include "turmericdyke/src/Feed/FeedRelay.h"
 #include "turmericdyke/src/Feed/LimitRecords.h"
+#include "turmericdyke/src/Groups/ColdTargets.h"
 #include "turmericdyke/src/Groups/EvacuatedDomains.h"
 #include "turmericdyke/src/Groups/ModelDemand.h"
 #include "turmericdyke/src/Groups/ServerDirectory.h"
@@ -123,6 +124,9 @@
   void refusePendingEvacuations(const std::string &Reason);
   /// Takes over the evacuations that the replicated state records.
   void applyEvacuations();
+  /// Has the servers of failure domains whose evacuation has ended count as
+  /// cold from then on.
+  void coolReturnedServers();
   std::vector<FailureDomainStatus> failureDomainStatus() const;
   void setEvacuationMetrics();
   /// Records the withdrawals that have arrived in the replicated state; they
@@ -175,6 +179,13 @@
   /// Updates the suspect lists of the feed.
   void updateSuspects();
   void publishTargets();
+  /// Decides how the rates of cold targets are shared, and logs and counts the
+  /// targets that have become cold or warm.
+  void updateColdTargets(std::vector<ServingTarget> &Targets);
+  /// Whether the rates of targets that become cold now are lent to entry nodes.
+  bool mayLendColdRates() const;
+  /// Notes when the first request ran.
+  void noteRequests(Instant Now, bool Run);
   /// The targets that entry nodes may use.
   std::vector<ServingTarget> servingTargets() const;
   /// The same, with those of evacuated failure domains.
@@ -270,6 +281,9 @@
   bool m_settled = false;
   /// Requests have run, under this leader or an earlier one.
   bool m_trafficSeen = false;
+  /// When the first request ran; see `coldUntil`.
+  Instant m_requestsSince = absl::InfiniteFuture();
+  ColdTargets m_cold;
   /// For each other coordinator, the directory change up to which it was sent
   /// the list.
   std::map<NodeId, std::uint64_t> m_directorySent;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -75,6 +75,7 @@
     m_announcementRelay.clear();
     updateSuspects();
     inheritServers();
+    coolReturnedServers();
     m_fenceTicket = m_core->submit(Now, ReserveFencingTokens{m_self, 1});
     schedulePlan();
   }
@@ -88,6 +89,7 @@
   setDemandMetrics(false);
   m_crashes.reset();
   m_limits.clear();
+  m_cold.clear();
   m_feed.reset();
   m_feedRelay.reset();
 }
@@ -183,6 +185,8 @@
     Input.m_evacuated = &m_evacuated;
     // A leader that inherits nothing does not know whether requests have run.
     Input.m_trafficSeen = m_trafficSeen || (m_fencingToken > 1 && !m_inherited);
+    noteRequests(Now, Input.m_trafficSeen);
+    Input.m_requestsSince = m_requestsSince;
     Input.m_progress = m_progress;
     Input.m_settled = m_settled;
     Input.m_demand = &m_demand;
@@ -317,7 +321,8 @@
         {Group.head(), Group.m_service, Head->m_announcement.m_address,
          Head->m_announcement.m_failureDomain, Group.m_model,
          Service->m_engine->m_slots, Epoch,
-         static_cast<std::uint64_t>(Head->m_announcement.m_startMillis)});
+         static_cast<std::uint64_t>(Head->m_announcement.m_startMillis),
+         m_cold.rate(Now, *Head, *Service, m_requestsSince)});
   }
   for (const auto &[Id, Server] : m_servers.all()) {
     const ServerAnnouncement &Announcement = Server.m_announcement;
@@ -328,16 +333,19 @@
     auto Started = static_cast<std::uint64_t>(Announcement.m_startMillis);
     Targets.push_back({Id, Announcement.m_service, Announcement.m_address,
                        Announcement.m_failureDomain, "", Announcement.m_slots,
-                       Started, Started});
+                       Started, Started,
+                       m_cold.rate(Now, Server, *Service, m_requestsSince)});
   }
   return Targets;
 }
 
 void CoordinatorNode::publishTargets() {
+  std::vector<ServingTarget> Targets = servingTargets();
+  updateColdTargets(Targets);
   // Entry nodes may hold targets of an earlier term until this leader knows all
   // servers, but not those of evacuated failure domains.
   bool Complete = m_settled && m_planner.leading();
-  m_feed.setTargets(servingTargets(),
+  m_feed.setTargets(Targets,
                     Complete ? std::vector<TargetId>() : evacuatedServers());
   pushFeed();
 }
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.cpp
@@ -8,7 +8,9 @@
 
 #include <fmt/format.h>
 
+#include "turmericdyke/src/Groups/ColdServer.h"
 #include "turmericdyke/src/Groups/EvacuatedDomains.h"
+#include "turmericdyke/src/Groups/HeadChoice.h"
 #include "turmericdyke/src/Groups/ModelDemand.h"
 
 namespace turmericdyke {
@@ -622,6 +624,15 @@
                fmt::format("servers needed for a group of {}", Model.m_name));
 }
 
+void GroupPlanner::putHeadFirst(
+    const ServiceEntry &Service,
+    absl::Span<const ServerRecord *> Members) const {
+  std::vector<Instant> ColdUntil;
+  for (const ServerRecord *Server : Members)
+    ColdUntil.push_back(coldUntil(*Server, Service, m_input->m_requestsSince));
+  std::swap(Members.front(), Members[chooseHead(m_now, ColdUntil)]);
+}
+
 bool GroupPlanner::formGroup(const ServiceEntry &Service,
                              const EngineModel &Model, FreeServers &Free) {
   std::vector<const ServerRecord *> *Best = nullptr;
@@ -668,6 +679,7 @@
                      return A->holdsWeights(Model.m_name) >
                             B->holdsWeights(Model.m_name);
                    });
+  putHeadFirst(Service, absl::MakeSpan(*Best).first(Model.m_members));
   auto Reserved = m_reserved.find(BestDomain);
   if (Reserved != m_reserved.end() && --Reserved->second.m_groups == 0)
     m_reserved.erase(Reserved);
--- a/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
+++ b/packages/groups/turmericdyke/src/Groups/GroupPlanner.h
@@ -135,6 +135,8 @@
   bool m_trafficSeen = false;
   /// The measured demand for each model; null if only declared shares count.
   const ModelDemand *m_demand = nullptr;
+  /// When the first request ran; see `coldUntil`.
+  Instant m_requestsSince = absl::InfiniteFuture();
 };
 
 /// Forms groups of servers that serve one model together, opens them, and
@@ -235,6 +237,9 @@
   void countServers(const ServiceEntry &Service, ModelBalance &Balance) const;
   bool formGroup(const ServiceEntry &Service, const EngineModel &Model,
                  FreeServers &Free);
+  /// Moves the head that is chosen to the front.
+  void putHeadFirst(const ServiceEntry &Service,
+                    absl::Span<const ServerRecord *> Members) const;
   /// Whether forming a group that needs loads would use up the spares.
   bool wouldUseSpares(const ServiceEntry &Service, const EngineModel &Model,
                       const FreeServers &Free, std::int64_t Loads) const;
