--- a/packages/catalog/test/CatalogTest.cpp
+++ b/packages/catalog/test/CatalogTest.cpp
@@ -86,6 +86,6 @@
   };
   CHECK(Time(500, 170) == absl::Milliseconds(2 * (10 + 30)));
   CHECK(Time(1000, 170) == absl::Milliseconds(2 * (20 + 60)));
-  Engine.m_kvCapacityTokens = 17 * 670;
+  Engine.m_kvCapacityTokens = 11390;
   CHECK(Time(500, 170) == absl::Milliseconds(2 * (10 + 60)));
 }
