--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -87,6 +87,7 @@
   m_crashes.reset();
   m_limits.clear();
   m_cold.clear();
+  m_metrics.set("turmericdyke_cold_targets", 0);
   m_feed.reset();
   m_feedRelay.reset();
 }
