--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -167,6 +167,10 @@
 void CoordinatorNode::onMetrics(
     const std::shared_ptr<ServerExchange> &Exchange) {
   m_metrics.set("turmericdyke_leads", leads() ? 1 : 0);
+  m_metrics.set("turmericdyke_connection_memory_bytes",
+                static_cast<double>(m_connectionBudget->total()));
+  m_metrics.set("turmericdyke_connection_memory_limit_bytes",
+                static_cast<double>(m_connectionBudget->limit()));
   m_metrics.set("turmericdyke_servers",
                 static_cast<double>(m_servers.all().size()));
   m_metrics.set("turmericdyke_groups",
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -33,6 +33,11 @@
 /// A full or failing disk rarely recovers within a second. The delay avoids a
 /// tight loop.
 constexpr absl::Duration StorageRetryDelay = absl::Seconds(1);
+/// Part of the memory for the connections of the control port.
+constexpr std::size_t ConnectionPart = 4;
+/// Scrapes of metrics: their part of the memory, and their bodies.
+constexpr std::size_t ServicePart = 64;
+constexpr std::size_t MaxServiceBody = 4 << 10;
 
 std::string_view nameOf(RaftEventKind Kind) {
   constexpr std::string_view Names[] = {"leadership_gained", "leadership_lost",
@@ -71,6 +76,8 @@
                                  const CoordinatorProtocol &Protocol)
     : m_settings(std::move(Settings)), m_protocol(Protocol),
       m_self(m_settings.m_peerAddress),
+      m_connectionBudget(std::make_shared<ConnectionBudget>(
+          m_settings.m_maxMemory / internal::ConnectionPart)),
       m_roster(m_self, internal::rosterOptions(m_settings)),
       m_planner(internal::plannerOptions(m_settings)), m_feedRelay(m_self) {
   m_pool = std::make_unique<HttpClientPool>(
@@ -107,6 +114,12 @@
         onMetrics(Exchange);
       },
       [](HttpServerEvent) {});
+  m_controlServer->shareBudget(m_connectionBudget);
+  m_metricsServer->shareBudget(std::make_shared<ConnectionBudget>(
+      m_settings.m_maxMemory / internal::ServicePart));
+  HttpServerLimits ScrapeLimits;
+  ScrapeLimits.m_bodyBytes = internal::MaxServiceBody;
+  m_metricsServer->setLimits(ScrapeLimits);
   for (auto [Server, Address] :
        {std::pair{m_controlServer.get(), m_settings.m_controlAddress},
         std::pair{m_metricsServer.get(), m_settings.m_metricsAddress}}) {
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -177,6 +177,8 @@
   CoordinatorSettings m_settings;
   const CoordinatorProtocol &m_protocol;
   NodeId m_self;
+  /// For the control port; see `docs/design/memory.md`.
+  std::shared_ptr<ConnectionBudget> m_connectionBudget;
   EventLoop m_loop;
   absl::BitGen m_random;
   MetricsRegistry m_metrics;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorSettings.h
@@ -24,6 +24,8 @@
   /// Peer addresses of coordinators.
   std::vector<NodeId> m_seeds;
   std::string m_dataDirectory;
+  /// Memory that the process may use, in bytes.
+  std::size_t m_maxMemory = std::size_t{256} << 20;
   /// The whole system starts for the first time. Otherwise an empty data
   /// directory means that its data were lost.
   bool m_firstStart = false;
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.cpp
@@ -28,12 +28,25 @@
 /// Descriptors reserved for files, peers and targets, not for callers'
 /// connections.
 constexpr std::size_t ReservedDescriptors = 600;
+/// Connections of other entry nodes, and of probes and scrapes, are a part of
+/// those of callers and taken from the reserve.
+constexpr std::size_t RelayConnectionPart = 8;
+/// Parts of the memory for the connections of callers and other entry nodes,
+/// and for those of probes and scrapes.
+constexpr std::size_t ConnectionPart = 4;
+constexpr std::size_t ServicePart = 64;
+/// Probes and scrapes have no bodies.
+constexpr std::size_t MaxServiceBody = 4 << 10;
 
 } // namespace
 } // namespace internal
 
 EntryNode::EntryNode(EntrySettings Settings, const EntryProtocol &Protocol)
-    : m_settings(std::move(Settings)), m_protocol(Protocol) {
+    : m_settings(std::move(Settings)), m_protocol(Protocol),
+      m_connectionBudget(std::make_shared<ConnectionBudget>(
+          m_settings.m_maxMemory / internal::ConnectionPart)),
+      m_serviceBudget(std::make_shared<ConnectionBudget>(
+          m_settings.m_maxMemory / internal::ServicePart)) {
   m_feed = std::make_unique<FeedFollower>(
       NodeId(m_settings.m_peerAddress), m_settings.m_seeds,
       FeedFollowerOptions(), m_settings.m_failureDomain);
@@ -60,19 +73,22 @@
 }
 
 Result<void, EntryError> EntryNode::start() {
-  auto OnEvent = [this](HttpServerEvent Event) { onServerEvent(Event); };
   m_callerServer = std::make_unique<HttpServer>(
       m_loop,
       [this](std::shared_ptr<ServerExchange> Exchange) {
         onCaller(std::move(Exchange));
       },
-      OnEvent);
+      [this](HttpServerEvent Event) {
+        onServerEvent("turmericdyke_caller_events_total", Event);
+      });
   m_relayServer = std::make_unique<HttpServer>(
       m_loop,
       [this](const std::shared_ptr<ServerExchange> &Exchange) {
         onRelayed(Exchange);
       },
-      [](HttpServerEvent) {});
+      [this](HttpServerEvent Event) {
+        onServerEvent("turmericdyke_relay_events_total", Event);
+      });
   m_readinessServer = std::make_unique<HttpServer>(
       m_loop,
       [this](const std::shared_ptr<ServerExchange> &Exchange) {
@@ -90,6 +106,15 @@
     Limits.m_connections =
         m_settings.m_maxDescriptors - internal::ReservedDescriptors;
   m_callerServer->setLimits(Limits);
+  Limits.m_connections /= internal::RelayConnectionPart;
+  m_relayServer->setLimits(Limits);
+  Limits.m_bodyBytes = internal::MaxServiceBody;
+  for (HttpServer *Server : {m_readinessServer.get(), m_metricsServer.get()}) {
+    Server->shareBudget(m_serviceBudget);
+    Server->setLimits(Limits);
+  }
+  m_callerServer->shareBudget(m_connectionBudget);
+  m_relayServer->shareBudget(m_connectionBudget);
   for (auto [Server, Address] :
        {std::pair{m_callerServer.get(), m_settings.m_callerAddress},
         std::pair{m_relayServer.get(), m_settings.m_relayAddress},
@@ -238,6 +263,12 @@
   m_services->m_metrics.set("turmericdyke_relayed_requests",
                             static_cast<double>(m_services->m_carried));
   m_services->m_metrics.set("turmericdyke_busy_fraction", m_busy.value());
+  m_services->m_metrics.set("turmericdyke_connection_memory_bytes",
+                            static_cast<double>(m_connectionBudget->total()));
+  m_services->m_metrics.set("turmericdyke_connection_memory_limit_bytes",
+                            static_cast<double>(m_connectionBudget->limit()));
+  m_services->m_metrics.set("turmericdyke_held_back_bytes",
+                            static_cast<double>(m_services->m_buffers.total()));
   m_services->m_metrics.set("turmericdyke_log_lines_dropped",
                             static_cast<double>(LogSink::standard().dropped()));
   m_services->m_metrics.set("turmericdyke_loop_turns_total",
@@ -248,10 +279,10 @@
   Exchange->respond(Response);
 }
 
-void EntryNode::onServerEvent(HttpServerEvent Event) {
-  m_services->m_metrics.increment("turmericdyke_caller_events_total",
-                                  {{"event", nameOf(Event)}});
-  if (Event != HttpServerEvent::Accepted)
+void EntryNode::onServerEvent(std::string_view Counter, HttpServerEvent Event) {
+  m_services->m_metrics.increment(Counter, {{"event", nameOf(Event)}});
+  // The servers log what they do for want of memory, many events in a line.
+  if (Event != HttpServerEvent::Accepted && !isForMemory(Event))
     LogLine(LogLevel::Info, "caller_refused").field("reason", nameOf(Event));
 }
 
@@ -437,6 +468,7 @@
   m_callerServer->setLimits(Limits);
   Limits.m_headBytes += internal::RelayHeadBytes;
   Limits.m_idleTime = m_relayServer->limits().m_idleTime;
+  Limits.m_connections = m_relayServer->limits().m_connections;
   m_relayServer->setLimits(Limits);
   LogLine(LogLevel::Info, "routing_in_force")
       .field("version", Version)
--- a/packages/entry/turmericdyke/src/Entry/EntryNode.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryNode.h
@@ -48,7 +48,8 @@
   void onReachChange(const ServiceId &Service, TargetReach::Change Change);
   void onReadiness(const std::shared_ptr<ServerExchange> &Exchange);
   void onMetrics(const std::shared_ptr<ServerExchange> &Exchange);
-  void onServerEvent(HttpServerEvent Event);
+  /// Counts and logs an event of the callers' or the relay server.
+  void onServerEvent(std::string_view Counter, HttpServerEvent Event);
   void onPeerMessage(const ReceivedMessage &Message);
   void tickFeed();
   /// Reports targets with stalled streams to the leader.
@@ -73,6 +74,12 @@
 
   EntrySettings m_settings;
   const EntryProtocol &m_protocol;
+  /// For callers and other entry nodes together. See `docs/design/memory.md`
+  /// for how the parts of the memory add up.
+  std::shared_ptr<ConnectionBudget> m_connectionBudget;
+  /// For readiness probes and scrapes of metrics, which go on when callers have
+  /// used up theirs.
+  std::shared_ptr<ConnectionBudget> m_serviceBudget;
   EventLoop m_loop;
   std::unique_ptr<FeedFollower> m_feed;
   std::unique_ptr<HttpClientPool> m_pool;
--- a/packages/http/test/HttpLoopbackTest.cpp
+++ b/packages/http/test/HttpLoopbackTest.cpp
@@ -214,6 +214,48 @@
   CHECK(Client.readToEnd().find("/late") != std::string::npos);
 }
 
+// Guards against bodies that are read to the limit although their head says
+// that they are over it.
+TEST_CASE("an announced body over the limit is refused before it is sent") {
+  HttpServerLimits Limits;
+  Limits.m_bodyBytes = 1000;
+  TestServer Server(&echo, Limits);
+  RawClient Client(Server.m_address);
+  Client.write("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+               "Content-Length: 1001\r\n\r\n");
+  CHECK(Client.readToEnd().substr(0, 12) == "HTTP/1.1 413");
+}
+
+// Guards against callers that hold a request open with a byte now and then.
+TEST_CASE("a body that goes on in single bytes ends after the time limit") {
+  HttpServerLimits Limits;
+  Limits.m_bodyTime = absl::Milliseconds(800);
+  TestServer Server(&echo, Limits);
+  RawClient Client(Server.m_address);
+  Client.write("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  Instant Until = monotonicNow() + TestLimit;
+  while (monotonicNow() < Until &&
+         ::send(Client.m_file, "1\r\nx\r\n", 6, MSG_NOSIGNAL) == 6)
+    absl::SleepFor(absl::Milliseconds(100));
+  CHECK(monotonicNow() < Until);
+}
+
+TEST_CASE("a caller that reads nothing of a response is cut off") {
+  HttpServerLimits Limits;
+  Limits.m_unreadTime = absl::Milliseconds(600);
+  TestServer Server(
+      [](const std::shared_ptr<ServerExchange> &Exchange) {
+        HttpResponse Response;
+        Response.m_body.assign(32 << 20, 'x');
+        Exchange->respond(Response);
+      },
+      Limits);
+  RawClient Client(Server.m_address);
+  Client.write("GET / HTTP/1.1\r\n\r\n");
+  absl::SleepFor(absl::Milliseconds(2500));
+  CHECK(Client.readToEnd().size() < (32 << 20));
+}
+
 // Guards against a reset that discards what the kernel has not yet delivered.
 TEST_CASE("a caller that is still sending receives the responses to the end") {
   constexpr std::size_t Bytes = 1000000;
--- a/packages/http/turmericdyke/src/Http/HttpReader.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -122,13 +122,10 @@
   } else {
     m_response.m_status = static_cast<int>(State.status_code);
     m_response.m_keepAlive = KeepAlive;
-    constexpr std::uint64_t NoLength = ~std::uint64_t{0};
-    bool Chunked = (State.flags & F_CHUNKED) != 0;
-    if (!Chunked && State.content_length != NoLength)
-      m_response.m_contentLength = State.content_length;
-    m_response.m_endsWithConnection = !Chunked && !m_response.m_contentLength &&
-                                      m_response.m_status != 204 &&
-                                      m_response.m_status != 304;
+    m_response.m_contentLength = announcedBytes();
+    m_response.m_endsWithConnection =
+        (State.flags & F_CHUNKED) == 0 && !m_response.m_contentLength &&
+        m_response.m_status != 204 && m_response.m_status != 304;
   }
   constexpr int SkipBody = 1;
   constexpr int Refuse = -1;
@@ -147,11 +144,10 @@
   std::size_t BodyBefore = m_bodyBytes;
   Consumed = http_parser_execute(&m_parser->m_state, &m_parser->m_callbacks,
                                  Bytes.data(), Bytes.size());
-  if (!m_headDone) {
-    m_headBytes += Consumed;
-    if (m_headBytes > m_maxHeadBytes)
-      return HttpReadStatus::HeadTooLarge;
-  }
+  if (!HeadWasDone)
+    m_headBytes += Consumed - (m_bodyBytes - BodyBefore);
+  if (!m_headDone && m_headBytes > m_maxHeadBytes)
+    return HttpReadStatus::HeadTooLarge;
   if (HeadWasDone)
     m_framingBytes += Consumed - (m_bodyBytes - BodyBefore);
   if (m_invalidName || isFramingTooLarge())
@@ -184,4 +180,20 @@
 
 bool HttpReader::insideBody() const { return m_headDone; }
 
+std::optional<std::uint64_t> HttpReader::announcedBytes() const {
+  constexpr std::uint64_t NoLength = ~std::uint64_t{0};
+  const http_parser &State = m_parser->m_state;
+  if ((State.flags & F_CHUNKED) != 0 || State.content_length == NoLength)
+    return std::nullopt;
+  return State.content_length;
+}
+
+std::size_t HttpReader::heldBytes() const {
+  const HttpFields &Fields =
+      m_side == Side::Requests ? m_request.m_fields : m_response.m_fields;
+  // A string takes up to twice its length.
+  return 2 * m_headBytes + m_name.capacity() + m_value.capacity() +
+         Fields.lines().capacity() * sizeof(HttpField);
+}
+
 } // namespace turmericdyke
--- a/packages/http/turmericdyke/src/Http/HttpReader.h
+++ b/packages/http/turmericdyke/src/Http/HttpReader.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -53,6 +54,11 @@
   /// Whether a message was read in part.
   bool insideMessage() const;
   bool insideBody() const;
+  /// Length of the body that the head announces; nothing if it is chunked or
+  /// ends with the connection. Set from `onHead` on.
+  std::optional<std::uint64_t> announcedBytes() const;
+  /// Memory that the parts of the message take, without its body.
+  std::size_t heldBytes() const;
 
   /// The parts of the message that is being read, set from `onHead` on.
   HttpRequest &request() { return m_request; }
--- a/packages/http/turmericdyke/src/Http/ServerConnection.cpp
+++ b/packages/http/turmericdyke/src/Http/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "turmericdyke/src/Http/ServerConnection.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
@@ -16,7 +17,13 @@
 constexpr std::size_t ReadBytes = 16 << 10;
 /// Maximum number of bytes of pipelined requests that are buffered while one is
 /// processed.
-constexpr std::size_t MaxInputBytes = 256 << 10;
+constexpr std::size_t MaxInputBytes = 16 << 10;
+/// An emptied buffer is kept for the next bytes up to this size. Several
+/// thousand connections are idle between two requests.
+constexpr std::size_t MaxKeptBuffer = 1 << 10;
+/// What a running request takes besides its bytes: its exchange, its attempt,
+/// and the connection to its target.
+constexpr std::size_t RunningBytes = 8 << 10;
 /// Further bytes stay in the output buffer, whose size the writer of a response
 /// sees.
 constexpr int MaxUnsentInKernel = 64 << 10;
@@ -25,6 +32,14 @@
 constexpr std::size_t MinSentToDrop = 16 << 10;
 /// How long a caller may go on sending after the last response.
 constexpr absl::Duration LingerTime = absl::Seconds(1);
+/// For refusals for want of memory. A second later the incomplete requests that
+/// took it have been refused, or closed after their time limits.
+constexpr std::string_view RetryAfterSeconds = "1";
+
+void releaseBuffer(std::string &Buffer) {
+  if (Buffer.empty() && Buffer.capacity() > MaxKeptBuffer)
+    Buffer = std::string();
+}
 
 } // namespace
 } // namespace internal
@@ -32,7 +47,9 @@
 ServerConnection::ServerConnection(HttpServer &Server, std::uint64_t Id,
                                    internal::Descriptor Socket)
     : m_server(Server), m_id(Id), m_socket(std::move(Socket)),
-      m_reader(HttpReader::Side::Requests, *this), m_lastRead(monotonicNow()) {
+      m_reader(HttpReader::Side::Requests, *this), m_lastRead(monotonicNow()),
+      m_share(Server.m_budget, this) {
+  m_share.resize(heldBytes(), use());
   internal::limitSilence(m_socket, Server.m_limits.m_unresponsiveTimeout);
   internal::limitUnsent(m_socket, internal::MaxUnsentInKernel);
 }
@@ -53,6 +70,7 @@
   m_closed = true;
   m_server.m_loop.unwatch(m_socket.get());
   m_socket = internal::Descriptor();
+  m_share.resize(0, ConnectionUse::Kept);
   if (std::shared_ptr<ServerExchange> Exchange =
           std::exchange(m_exchange, {})) {
     --m_server.m_exchanges;
@@ -81,8 +99,18 @@
 void ServerConnection::onReady(std::uint32_t Events) {
   if ((Events & EPOLLOUT) != 0 && !flush())
     return;
-  if ((Events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
-    readSocket();
+  if ((Events & (EPOLLIN | EPOLLHUP | EPOLLERR)) == 0)
+    return;
+  // Further requests of a busy connection stay in the kernel for now.
+  bool Ended = (Events & (EPOLLHUP | EPOLLERR)) != 0;
+  if (!Ended && m_exchange && m_server.m_budget->isUsedUp())
+    return updateEvents();
+  readSocket();
+  if (m_closed)
+    return;
+  m_share.resize(heldBytes(), use());
+  m_server.refuseOverBudget();
+  m_server.enforceBudgetSoon();
 }
 
 void ServerConnection::readSocket() {
@@ -114,6 +142,9 @@
     if (m_closed)
       return;
     m_input.erase(0, Consumed);
+    internal::releaseBuffer(m_input);
+    if (m_noRoomToRun)
+      return refuse(HttpServerEvent::MemoryUsedUp, 503);
     if (m_bodyTooLarge)
       return refuse(HttpServerEvent::BodyTooLarge, 413);
     if (Status == HttpReadStatus::Malformed)
@@ -124,6 +155,11 @@
 }
 
 bool ServerConnection::onHead() {
+  // The rest is dropped: the request is refused before its body is read.
+  if (m_reader.announcedBytes().value_or(0) > m_server.m_limits.m_bodyBytes) {
+    m_bodyTooLarge = true;
+    return false;
+  }
   if (m_reader.request().m_fields.lists("Expect", "100-continue"))
     send("HTTP/1.1 100 Continue\r\n\r\n");
   return true;
@@ -132,20 +168,76 @@
 void ServerConnection::onBody(std::string_view Bytes) {
   if (m_body.size() + Bytes.size() > m_server.m_limits.m_bodyBytes)
     m_bodyTooLarge = true;
-  else
-    m_body.append(Bytes);
+  if (m_bodyTooLarge)
+    return;
+  growBody(Bytes.size());
+  m_body.append(Bytes);
+}
+
+void ServerConnection::growBody(std::size_t More) {
+  std::size_t Needed = m_body.size() + More;
+  if (Needed <= m_body.capacity())
+    return;
+  // Doubled as a string does itself, but not beyond the largest body.
+  m_body.reserve(std::max(
+      Needed, std::min(2 * m_body.capacity(), m_server.m_limits.m_bodyBytes)));
+}
+
+std::size_t ServerConnection::heldBytes() const {
+  std::size_t Held = ConnectionBudget::ConnectionBytes + m_input.capacity() +
+                     m_body.capacity() + m_output.capacity();
+  return m_reader.insideMessage() ? Held + m_reader.heldBytes() : Held;
+}
+
+ConnectionUse ServerConnection::use() const {
+  if (!m_exchange && !m_closeWhenSent && m_reader.insideMessage())
+    return ConnectionUse::Incomplete;
+  return unsentBytes() > 0 ? ConnectionUse::Unread : ConnectionUse::Kept;
+}
+
+void ServerConnection::updateShare() {
+  m_share.resize(heldBytes(), use());
+  m_server.enforceBudgetSoon();
+}
+
+void ServerConnection::giveUp() {
+  std::shared_ptr<ServerConnection> Held = shared_from_this();
+  if (use() == ConnectionUse::Incomplete)
+    return refuse(HttpServerEvent::MemoryUsedUp, 503);
+  m_server.report(HttpServerEvent::Unread);
+  reset();
+}
+
+bool ServerConnection::makeRoomToRun(std::size_t Held, std::size_t More) {
+  // It no longer counts among the incomplete ones, which go first.
+  m_share.resize(heldBytes(), ConnectionUse::Kept);
+  ConnectionBudget &Budget = *m_server.m_budget;
+  while (!Budget.mayRun(Held, More)) {
+    BudgetHolder *Other = Budget.largestIncomplete();
+    if (Other == nullptr)
+      return false;
+    Other->giveUp();
+  }
+  return true;
 }
 
 void ServerConnection::onMessageEnd() {
   if (m_bodyTooLarge)
     return;
+  // The body is copied once for the target, or for the replicated log.
+  std::size_t Held = m_body.capacity() + m_reader.heldBytes();
+  std::size_t More = m_body.size() + internal::RunningBytes;
+  if (!makeRoomToRun(Held, More)) {
+    m_noRoomToRun = true;
+    return;
+  }
   HttpRequest Request = std::move(m_reader.request());
   Request.m_body = std::exchange(m_body, {});
   Request.m_received = m_lastRead;
   m_keepAlive = Request.m_keepAlive;
   m_requestStart = absl::InfiniteFuture();
-  m_exchange =
-      std::make_shared<ServerExchange>(weak_from_this(), std::move(Request));
+  m_exchange = std::make_shared<ServerExchange>(
+      weak_from_this(), std::move(Request), m_server.m_budget, Held + More);
   ++m_server.m_exchanges;
   m_server.m_onRequest(m_exchange);
 }
@@ -153,6 +245,8 @@
 void ServerConnection::send(std::string_view Bytes) {
   if (m_closed)
     return;
+  if (unsentBytes() == 0)
+    m_share.progressed(monotonicNow());
   m_output.append(Bytes);
   flush();
 }
@@ -170,6 +264,7 @@
       return false;
     }
     m_sent += static_cast<std::size_t>(Count);
+    m_share.progressed(monotonicNow());
   }
   // A receiver that is always behind never lets the buffer run empty.
   if (m_sent >= internal::MinSentToDrop && m_sent >= m_output.size() / 2) {
@@ -179,12 +274,14 @@
   if (unsentBytes() == 0) {
     m_output.clear();
     m_sent = 0;
+    internal::releaseBuffer(m_output);
     if (m_closeWhenSent) {
       closeAfterOutput();
       return false;
     }
   }
   updateEvents();
+  updateShare();
   return true;
 }
 
@@ -197,15 +294,17 @@
   // lose the response. Its bytes are read and dropped until it closes.
   shutdown(m_socket.get(), SHUT_WR);
   m_lingersUntil = monotonicNow() + internal::LingerTime;
-  m_input.clear();
+  m_input = std::string();
   updateEvents();
+  m_share.resize(heldBytes(), use());
 }
 
 void ServerConnection::updateEvents() {
   if (m_closed)
     return;
   std::uint32_t Events = 0;
-  if (m_input.size() <= internal::MaxInputBytes)
+  bool Waits = m_exchange && m_server.m_budget->isUsedUp();
+  if (m_input.size() <= internal::MaxInputBytes && !Waits)
     Events |= EPOLLIN;
   if (unsentBytes() > 0)
     Events |= EPOLLOUT;
@@ -225,6 +324,8 @@
     flush();
     return;
   }
+  updateShare();
+  updateEvents();
   if (m_input.empty())
     return;
   // The next request is read from the event loop: pipelined requests must not
@@ -233,6 +334,7 @@
     if (std::shared_ptr<ServerConnection> Self = Weak.lock()) {
       Self->readInput();
       Self->updateEvents();
+      Self->updateShare();
     }
   });
 }
@@ -241,7 +343,13 @@
   m_server.report(Reason);
   m_refused = true;
   m_closeWhenSent = true;
-  send(responseHead(Status, {}, BodyFraming::Length, 0, false));
+  m_body = std::string();
+  m_input = std::string();
+  m_share.resize(heldBytes(), use());
+  HttpFields Fields;
+  if (Reason == HttpServerEvent::MemoryUsedUp)
+    Fields.add("Retry-After", internal::RetryAfterSeconds);
+  send(responseHead(Status, Fields, BodyFraming::Length, 0, false));
 }
 
 void ServerConnection::closeIfIdle() {
@@ -249,7 +357,10 @@
     return;
   // A request that has arrived meanwhile is answered.
   readSocket();
-  if (!m_closed && isIdle())
+  if (m_closed)
+    return;
+  updateShare();
+  if (isIdle())
     close();
 }
 
@@ -262,6 +373,13 @@
   const HttpServerLimits &Limits = m_server.m_limits;
   if (Now >= m_lingersUntil)
     return close();
+  if (unsentBytes() > 0 &&
+      Now - m_share.lastProgress() >= Limits.m_unreadTime) {
+    m_server.report(HttpServerEvent::Unread);
+    return reset();
+  }
+  if (m_exchange && !m_closed && (m_watchedEvents & EPOLLIN) == 0)
+    updateEvents();
   if (m_exchange || m_closed)
     return;
   if (m_closeWhenSent)
@@ -273,7 +391,8 @@
   }
   if (!m_reader.insideBody() && Now - m_requestStart >= Limits.m_headTime)
     return refuse(HttpServerEvent::HeadTimedOut, 408);
-  if (m_reader.insideBody() && Now - m_lastRead >= Limits.m_bodyIdleTimeout)
+  if (m_reader.insideBody() && (Now - m_lastRead >= Limits.m_bodyIdleTimeout ||
+                                Now - m_requestStart >= Limits.m_bodyTime))
     return refuse(HttpServerEvent::BodyTimedOut, 408);
 }
 
--- a/packages/http/turmericdyke/src/Http/ServerConnection.h
+++ b/packages/http/turmericdyke/src/Http/ServerConnection.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <sys/epoll.h>
 
+#include "turmericdyke/src/Http/ConnectionShare.h"
 #include "turmericdyke/src/Http/HttpReader.h"
 #include "turmericdyke/src/Http/HttpServer.h"
 
@@ -13,6 +14,7 @@
 
 /// A caller's connection to an `HttpServer`.
 class ServerConnection : public HttpReaderEvents,
+                         public BudgetHolder,
                          public std::enable_shared_from_this<ServerConnection> {
 public:
   ServerConnection(HttpServer &Server, std::uint64_t Id,
@@ -40,6 +42,7 @@
   bool onHead() override;
   void onBody(std::string_view Bytes) override;
   void onMessageEnd() override;
+  void giveUp() override;
 
 private:
   void onReady(std::uint32_t Events);
@@ -51,6 +54,14 @@
   void closeAfterOutput();
   void updateEvents();
   void refuse(HttpServerEvent Reason, int Status);
+  void growBody(std::size_t More);
+  /// Reports what the connection holds.
+  void updateShare();
+  std::size_t heldBytes() const;
+  ConnectionUse use() const;
+  /// Whether there is room for a complete request to run, which holds `Held`
+  /// and takes `More`. Incomplete requests are given up for it.
+  bool makeRoomToRun(std::size_t Held, std::size_t More);
 
   HttpServer &m_server;
   std::uint64_t m_id;
@@ -67,12 +78,15 @@
   /// The response was sent before the request was read to its end.
   bool m_refused = false;
   bool m_closed = false;
+  /// A complete request was refused for want of memory.
+  bool m_noRoomToRun = false;
   std::uint32_t m_watchedEvents = EPOLLIN;
   Instant m_lastRead;
   /// Until when bytes of the peer are dropped after the last response.
   Instant m_lingersUntil = absl::InfiniteFuture();
   /// When the first byte of the current request was read.
   Instant m_requestStart = absl::InfiniteFuture();
+  ConnectionShare m_share;
 };
 
 } // namespace turmericdyke
--- a/packages/http/turmericdyke/src/Http/ServerExchange.cpp
+++ b/packages/http/turmericdyke/src/Http/ServerExchange.cpp
@@ -8,8 +8,13 @@
 namespace turmericdyke {
 
 ServerExchange::ServerExchange(std::weak_ptr<ServerConnection> Connection,
-                               HttpRequest Request)
-    : m_connection(std::move(Connection)), m_request(std::move(Request)) {}
+                               HttpRequest Request,
+                               std::shared_ptr<ConnectionBudget> Budget,
+                               std::size_t Bytes)
+    : m_connection(std::move(Connection)), m_request(std::move(Request)),
+      m_share(std::move(Budget), nullptr) {
+  m_share.resize(Bytes, ConnectionUse::Kept);
+}
 
 void ServerExchange::respond(const HttpResponse &Response) {
   assert(!m_started && "an answer was begun already");
--- a/packages/http/turmericdyke/src/Http/ServerExchange.h
+++ b/packages/http/turmericdyke/src/Http/ServerExchange.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string_view>
 
+#include "turmericdyke/src/Http/ConnectionShare.h"
 #include "turmericdyke/src/Http/HttpMessage.h"
 
 namespace turmericdyke {
@@ -15,8 +16,11 @@
 /// caller has disconnected have no effect.
 class ServerExchange {
 public:
+  /// `Bytes` is what the request takes of the budget while the exchange lives.
+  /// A request may go on running after its caller has left.
   ServerExchange(std::weak_ptr<ServerConnection> Connection,
-                 HttpRequest Request);
+                 HttpRequest Request, std::shared_ptr<ConnectionBudget> Budget,
+                 std::size_t Bytes);
 
   const HttpRequest &request() const { return m_request; }
   HttpRequest &request() { return m_request; }
@@ -49,6 +53,7 @@
 
   std::weak_ptr<ServerConnection> m_connection;
   HttpRequest m_request;
+  ConnectionShare m_share;
   std::function<void()> m_onGone;
   bool m_started = false;
   /// What the header of the response says of the connection.
--- a/packages/loop/turmericdyke/src/Loop/Sockets.cpp
+++ b/packages/loop/turmericdyke/src/Loop/Sockets.cpp
@@ -137,6 +137,10 @@
              sizeof Bytes);
 }
 
+void limitReceived(const Descriptor &Socket, int Bytes) {
+  setsockopt(Socket.get(), SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof Bytes);
+}
+
 int pendingError(const Descriptor &Socket) {
   int Code = 0;
   socklen_t Size = sizeof Code;
--- a/packages/loop/turmericdyke/src/Loop/Sockets.h
+++ b/packages/loop/turmericdyke/src/Loop/Sockets.h
@@ -55,6 +55,9 @@
 /// Bounds the bytes that the kernel holds for a peer that does not read.
 void limitUnsent(const Descriptor &Socket, int Bytes);
 
+/// Bounds the received bytes that the kernel holds until they are read, about.
+void limitReceived(const Descriptor &Socket, int Bytes);
+
 /// The error code of the last failed operation on the socket; 0 if there is
 /// none.
 int pendingError(const Descriptor &Socket);
