--- a/packages/http/test/HttpLoopbackTest.cpp
+++ b/packages/http/test/HttpLoopbackTest.cpp
@@ -1,8 +1,10 @@
 #include <algorithm>
+#include <atomic>
 #include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
@@ -240,6 +242,39 @@
   CHECK(monotonicNow() < Until);
 }
 
+// Guards against requests that begin to run without room for their copy, and
+// against refusals of requests that have run.
+TEST_CASE("a complete request without room to run is refused before it runs") {
+  std::atomic<int> Runs = 0;
+  std::atomic<std::size_t> Left = 1;
+  auto Budget = std::make_shared<ConnectionBudget>(1 << 20);
+  TestServer Server([&](const std::shared_ptr<ServerExchange> &Exchange) {
+    ++Runs;
+    echo(Exchange);
+  });
+  Server.m_loop.post([&] { Server.m_server.shareBudget(Budget); });
+  absl::SleepFor(absl::Milliseconds(100));
+  for (auto [Size, Status] :
+       {std::pair{800 << 10, "503"}, {300 << 10, "200"}}) {
+    RawClient Client(Server.m_address);
+    Client.write("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: " +
+                 std::to_string(Size) + "\r\n\r\n");
+    Client.write(std::string(static_cast<std::size_t>(Size), 'x'));
+    std::string Answer = Client.readToEnd();
+    CHECK(Answer.substr(9, 3) == Status);
+    CHECK((Answer.find("Retry-After: 1") != std::string::npos) ==
+          (Answer.substr(9, 3) == "503"));
+  }
+  CHECK(Runs == 1);
+  // A closed connection lingers until its caller has closed it too.
+  Instant Until = monotonicNow() + TestLimit;
+  while (Left > 0 && monotonicNow() < Until) {
+    Server.m_loop.post([&] { Left = Budget->total(); });
+    absl::SleepFor(absl::Milliseconds(50));
+  }
+  CHECK(Left == 0);
+}
+
 TEST_CASE("a caller that reads nothing of a response is cut off") {
   HttpServerLimits Limits;
   Limits.m_unreadTime = absl::Milliseconds(600);
--- a/packages/http/turmericdyke/src/Http/ServerConnection.cpp
+++ b/packages/http/turmericdyke/src/Http/ServerConnection.cpp
@@ -36,9 +36,12 @@
 /// took it have been refused, or closed after their time limits.
 constexpr std::string_view RetryAfterSeconds = "1";
 
-void releaseBuffer(std::string &Buffer) {
+/// An assigned empty string would leave the memory of the old one allocated.
+void release(std::string &Buffer) { std::string().swap(Buffer); }
+
+void releaseIfEmpty(std::string &Buffer) {
   if (Buffer.empty() && Buffer.capacity() > MaxKeptBuffer)
-    Buffer = std::string();
+    release(Buffer);
 }
 
 } // namespace
@@ -142,7 +145,7 @@
     if (m_closed)
       return;
     m_input.erase(0, Consumed);
-    internal::releaseBuffer(m_input);
+    internal::releaseIfEmpty(m_input);
     if (m_noRoomToRun)
       return refuse(HttpServerEvent::MemoryUsedUp, 503);
     if (m_bodyTooLarge)
@@ -274,7 +277,7 @@
   if (unsentBytes() == 0) {
     m_output.clear();
     m_sent = 0;
-    internal::releaseBuffer(m_output);
+    internal::releaseIfEmpty(m_output);
     if (m_closeWhenSent) {
       closeAfterOutput();
       return false;
@@ -294,7 +297,7 @@
   // lose the response. Its bytes are read and dropped until it closes.
   shutdown(m_socket.get(), SHUT_WR);
   m_lingersUntil = monotonicNow() + internal::LingerTime;
-  m_input = std::string();
+  internal::release(m_input);
   updateEvents();
   m_share.resize(heldBytes(), use());
 }
@@ -343,8 +346,8 @@
   m_server.report(Reason);
   m_refused = true;
   m_closeWhenSent = true;
-  m_body = std::string();
-  m_input = std::string();
+  internal::release(m_body);
+  internal::release(m_input);
   m_share.resize(heldBytes(), use());
   HttpFields Fields;
   if (Reason == HttpServerEvent::MemoryUsedUp)
