--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCold.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCold.cpp
@@ -2,6 +2,7 @@
 
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Coordinator/CoordinatorNode.h"
+#include "turmericdyke/src/Groups/ColdServer.h"
 
 namespace turmericdyke {
 
@@ -20,8 +21,8 @@
 void CoordinatorNode::noteRequests(Instant Now, bool Run) {
   if (!Run || m_requestsSince != absl::InfiniteFuture())
     return;
-  // A later leader does not know when the first request ran.
-  m_requestsSince = m_fencingToken == 1 ? Now : absl::InfinitePast();
+  m_requestsSince =
+      requestsSince(Now, {m_fencingToken == 1, m_inherited, m_settled});
 }
 
 bool CoordinatorNode::mayLendColdRates() const {
--- a/packages/groups/test/ColdServerTest.cpp
+++ b/packages/groups/test/ColdServerTest.cpp
@@ -118,6 +118,30 @@
   CHECK(left(Now, Directory) == Warm);
 }
 
+// Guards against all servers being limited after a restart of all coordinators:
+// the new leader hears each of them for the first time.
+TEST_CASE("servers that a leader without a list hears first are cold only if "
+          "they say so") {
+  ServerDirectory Directory;
+  Announcer Server;
+  Server.announce(Start, Directory, Warm);
+  CHECK(left(Start, Directory, requestsSince(Start, {false, false, false})) ==
+        Warm);
+  Instant Settled = Start + absl::Seconds(3);
+  CHECK(left(Settled, Directory,
+             requestsSince(Settled, {false, false, true})) == Warm);
+  Announcer Cold("t");
+  Cold.announce(Start, Directory, absl::Seconds(2));
+  CHECK(left(Start, Directory, requestsSince(Start, {false, false, false}),
+             "t") == absl::Seconds(2));
+  Announcer Later("u");
+  Later.announce(Settled + Interval, Directory, Warm);
+  CHECK(left(Settled + Interval, Directory,
+             requestsSince(Settled, {false, false, true}), "u") == ColdStart);
+  CHECK(requestsSince(Start, {true, false, false}) == Start);
+  CHECK(requestsSince(Start, {false, true, false}) == absl::InfinitePast());
+}
+
 // Guards against a server that became cold while it was cut off from the
 // coordinators.
 TEST_CASE("a server counts as started when it is heard again after a silence") {
--- a/packages/groups/turmericdyke/src/Groups/ColdServer.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ColdServer.cpp
@@ -19,4 +19,12 @@
   return std::max(Server.m_coldUntil, Assumed);
 }
 
+Instant requestsSince(Instant Now, const LeaderKnowledge &Leader) {
+  if (Leader.m_first)
+    return Now;
+  if (Leader.m_inherited)
+    return absl::InfinitePast();
+  return Leader.m_settled ? Now : absl::InfiniteFuture();
+}
+
 } // namespace turmericdyke
--- a/packages/groups/turmericdyke/src/Groups/ColdServer.h
+++ b/packages/groups/turmericdyke/src/Groups/ColdServer.h
@@ -18,4 +18,20 @@
 Instant coldUntil(const ServerRecord &Server, const ServiceEntry &Service,
                   Instant RequestsSince);
 
+/// What a leader knows of the time before it.
+struct LeaderKnowledge {
+  /// No other leader came before it.
+  bool m_first = false;
+  /// It took over the server list of the previous leader.
+  bool m_inherited = false;
+  /// All live servers have had time to announce themselves to it.
+  bool m_settled = false;
+};
+
+/// `RequestsSince` for a leader that has seen that requests run. Servers that a
+/// leader without a server list hears first have not started just now, so until
+/// it is settled only those that say so are cold. Otherwise all servers would
+/// be limited after a restart of all coordinators.
+Instant requestsSince(Instant Now, const LeaderKnowledge &Leader);
+
 } // namespace turmericdyke
