--- a/packages/entry/test/RequestArrivalTest.cpp
+++ b/packages/entry/test/RequestArrivalTest.cpp
@@ -1,3 +1,5 @@
+#include <optional>
+
 #include <doctest/doctest.h>
 
 #include "turmericdyke/src/Catalog/Catalog.h"
@@ -19,16 +21,21 @@
   Service.m_engine->m_models.push_back({"m"});
   CallerRequest Request;
   Request.m_model = "m";
+  std::optional<double> Relative;
   auto Counted = [&](std::int64_t Prompt, std::int64_t MaxOutput) {
     Request.m_promptTokens = Prompt;
     Request.m_maxOutputTokens = MaxOutput;
-    return arrivalOf(Service, Request);
+    return arrivalOf(Service, Request, Relative);
   };
   using Arrivals = ModelArrivals;
   CHECK(Counted(700, 60) == Arrivals{Service.m_id, "m", 1, 700, 60});
   CHECK(Counted(700, 4096) == Arrivals{Service.m_id, "m", 1, 700, 80});
   CHECK(Counted(0, 0) == Arrivals{Service.m_id, "m", 1, 300, 80});
   CHECK(Counted(1 << 30, 60).m_promptTokens == 5000);
+  // Measured lengths replace the stated maximum.
+  Relative = 0.25;
+  CHECK(Counted(700, 60) == Arrivals{Service.m_id, "m", 1, 700, 20});
+  Relative.reset();
   Request.m_model = "unknown";
   CHECK(Counted(700, 60) == Arrivals{Service.m_id, "", 1, 0, 0});
 }
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -99,8 +99,9 @@
     m_services.retryBudget(m_service).onRequest(monotonicNow());
     if (!m_caller.m_model.empty()) {
       ++m_services.m_modelRequests;
-      m_services.m_arrivals.add(
-          arrivalOf(*m_routes->catalog().service(m_service), m_caller));
+      m_services.m_arrivals.add(arrivalOf(
+          *m_routes->catalog().service(m_service), m_caller,
+          m_services.m_outputSizes.relativeSize(m_service, m_caller.m_model)));
     }
   }
   if (!mayBeginAttempt())
@@ -603,6 +604,9 @@
 void EntryExchange::forwardResponse() {
   const HttpResponseHead &Head = m_attempt->head();
   if (m_attempt->streams()) {
+    if (!m_caller.m_model.empty())
+      m_services.m_outputSizes.record(m_service, m_caller.m_model,
+                                      m_events.events());
     m_exchange->finish();
     return finish("answered", Head.m_status);
   }
--- a/packages/entry/turmericdyke/src/Entry/EntryServices.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryServices.h
@@ -18,6 +18,7 @@
 #include "turmericdyke/src/Http/HttpClientPool.h"
 #include "turmericdyke/src/Loop/EventLoop.h"
 #include "turmericdyke/src/Serving/BufferBudget.h"
+#include "turmericdyke/src/Serving/OutputSizes.h"
 #include "turmericdyke/src/Serving/Placement.h"
 #include "turmericdyke/src/Serving/RetryAfter.h"
 #include "turmericdyke/src/Serving/RunTimes.h"
@@ -59,6 +60,7 @@
   std::function<void(const ServiceId &, TargetReach::Change)> m_onReachChange =
       [](const ServiceId &, TargetReach::Change) {};
   RunTimes m_runTimes;
+  OutputSizes m_outputSizes;
   StopSchedule m_stop;
   Instant m_started = monotonicNow();
   /// What attempts hold back: an eighth of the memory. The sum may reach twice
--- a/packages/entry/turmericdyke/src/Entry/RequestArrival.cpp
+++ b/packages/entry/turmericdyke/src/Entry/RequestArrival.cpp
@@ -1,6 +1,7 @@
 #include "turmericdyke/src/Entry/RequestArrival.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 #include "turmericdyke/src/Catalog/Catalog.h"
@@ -23,8 +24,12 @@
 }
 
 /// Callers state a maximum, which few responses reach.
-std::int64_t outputTokens(const EngineCosts &Engine, std::int64_t StatedMax) {
+std::int64_t outputTokens(const EngineCosts &Engine, std::int64_t StatedMax,
+                          std::optional<double> RelativeOutput) {
   std::int64_t Usual = Engine.m_typicalOutputTokens;
+  if (RelativeOutput && Usual > 0)
+    return std::max<std::int64_t>(
+        1, std::llround(static_cast<double>(Usual) * *RelativeOutput));
   if (StatedMax <= 0)
     return Usual;
   return std::min(StatedMax, Usual > 0 ? Usual : MaxTokens);
@@ -34,7 +39,8 @@
 } // namespace internal
 
 ModelArrivals arrivalOf(const ServiceEntry &Service,
-                        const CallerRequest &Request) {
+                        const CallerRequest &Request,
+                        std::optional<double> RelativeOutput) {
   ModelArrivals Arrival;
   Arrival.m_service = Service.m_id;
   Arrival.m_requests = 1;
@@ -43,8 +49,8 @@
   Arrival.m_model = Request.m_model;
   Arrival.m_promptTokens =
       internal::promptTokens(*Service.m_engine, Request.m_promptTokens);
-  Arrival.m_outputTokens =
-      internal::outputTokens(*Service.m_engine, Request.m_maxOutputTokens);
+  Arrival.m_outputTokens = internal::outputTokens(
+      *Service.m_engine, Request.m_maxOutputTokens, RelativeOutput);
   return Arrival;
 }
 
