--- a/packages/serving/turmericdyke/src/Serving/Placement.h
+++ b/packages/serving/turmericdyke/src/Serving/Placement.h
@@ -58,7 +58,7 @@
   /// Factor on what targets lack that are in another failure domain, or are
   /// not among the least loaded ones. Traffic between failure domains costs
   /// something, but less than a queue.
-  double m_remoteWeight = 0.25;
+  double m_remoteWeight = 0.1;
 };
 
 enum class PlacementOutcome {
