--- a/review/common-2/Lab.hpp
+++ b/review/common-2/Lab.hpp
@@ -351,6 +351,7 @@
     }
     return m_pid > 0;
   }
+  pid_t pid() const { return m_pid; }
   std::string control() const { return m_ip + ":8229"; }
   std::string frontend() const { return m_ip + ":8227"; }
   bool ready() const {
@@ -371,6 +372,8 @@
   int m_cores = 3;
   int m_edges = 2;
   int m_tolerated = 1;
+  /// Memory of an edge machine, in MB.
+  long m_edgeMemory = 260;
   std::vector<std::string> m_zones = {"zone-a", "zone-b", "zone-c"};
   /// Lines of `bounds`.
   std::string m_bounds;
@@ -455,7 +458,8 @@
     for (const std::string &Seed : Seeds)
       Text += "  - \"" + Seed + "\"\n";
     Text += std::string("bootstrap: true\nin-tolerance: ") + (Core ? "true" : "false") + "\n";
-    Text += "limits:\n  cpu-share: 0.6\n  cpu-cores: 1\n  memory-mb: 256\n  max-fds: 4096\n  link-mbps: 1000.0\n";
+    Text += "limits:\n  cpu-share: 0.6\n  cpu-cores: 1\n  memory-mb: " +
+            std::to_string(Core ? 256 : Options.m_edgeMemory) + "\n  max-fds: 4100\n  link-mbps: 1000.0\n";
     Text += std::string("  disk-mb: ") + (Core ? "128" : "0") + "\n";
     Text += Core ? "data-dir: \"" + (workFolder() / (Of.m_name + "-data")).string() + "\"\n" : "data-dir: null\n";
     Text += "discovery: \"registration\"\nentry: \"anycast\"\nheartbeat-ms: 1200\n";
