--- a/review/common-2/Lab.hpp
+++ b/review/common-2/Lab.hpp
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sched.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -317,6 +318,12 @@
     m_pid = fork();
     if (m_pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (m_cpu >= 0) {
+        cpu_set_t Cores;
+        CPU_ZERO(&Cores);
+        CPU_SET(static_cast<std::size_t>(m_cpu), &Cores);
+        sched_setaffinity(0, sizeof Cores, &Cores);
+      }
       if (chdir(repositoryRoot().c_str()) != 0)
         _exit(126);
       int Out = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -341,6 +348,8 @@
     m_pid = -1;
     RECORD("platform: %s killed", m_name.c_str());
   }
+  /// Kills at once; `kill` waits for the end and records it.
+  void strike() const { ::kill(m_pid, SIGKILL); }
   /// Whether the process runs; if not, its status is in `Status`.
   bool alive(int *Status = nullptr) {
     int Ended = 0;
@@ -363,6 +372,8 @@
 
   const std::string m_name, m_role, m_ip, m_zone;
   std::string m_settings;
+  /// The only core that the process may use, as machines have one (`cpu-cores: 1`); -1 for any.
+  int m_cpu = -1;
 
 private:
   pid_t m_pid = -1;
@@ -531,6 +542,7 @@
       m_born = unixMillis();
       m_sequence = 0;
       m_state = "ready";
+      m_late = 0;
       m_model.clear();
       m_group = Json();
       m_staged.clear();
@@ -571,6 +583,29 @@
     return m_id;
   }
   const ServerOptions &options() const { return m_options; }
+  /// Says that it leaves, in a heartbeat to `Address`; serves on. Its further heartbeats arrive `Late` seconds late.
+  /// Calls `OnAck` as soon as the answer is there.
+  int drain(const std::string &Address, double Late, const std::function<void()> &OnAck) {
+    std::string Body, Id;
+    {
+      std::lock_guard Lock(m_lock);
+      m_state = "draining";
+      m_late = Late;
+      Body = statement();
+      Id = m_id;
+    }
+    int File = connectTo(Address, 1);
+    std::string Input;
+    if (File < 0 || !sendAll(File, requestBytes("POST", "/Instances.Heartbeat/" + Id,
+                                                "Host: " + Address + "\r\nContent-Type: application/json\r\n", Body)))
+      return 0;
+    readSome(File, Input, now() + 1);
+    bool Acknowledged = Input.compare(0, 12, "HTTP/1.1 200") == 0;
+    if (Acknowledged)
+      OnAck();
+    ::close(File);
+    return Acknowledged ? 200 : std::atoi(Input.c_str() + std::min<std::size_t>(9, Input.size()));
+  }
   /// Tells the core at once; see `beat`.
   void announceNow() { m_beatNow = true; }
 
@@ -748,24 +783,40 @@
     }
     announceNow();
   }
+  /// The body of the next heartbeat. The lock is held.
+  std::string statement() {
+    Json Value = {{"service", m_options.m_service}, {"address", m_options.m_address},
+                  {"zone", m_options.m_zone}, {"version", "v1"}, {"slots", m_options.m_slots},
+                  {"state", m_state}, {"cold-remaining-ms", 0}, {"stage", "prefill_decode"},
+                  {"sequence", ++m_sequence}, {"born", m_born}};
+    addWeights(Value);
+    return Value.dump();
+  }
   /// Announces this life to the core about every heartbeat, and at once after a change.
   void beat(int Life) {
     std::size_t Next = static_cast<std::size_t>(Life);
     while (m_up && (m_life == Life || m_life == 0)) {
       m_beatNow = false;
       std::string Body, Id, Address;
+      double Late = 0;
       {
         std::lock_guard Lock(m_lock);
-        Json Value = {{"service", m_options.m_service}, {"address", m_options.m_address},
-                      {"zone", m_options.m_zone}, {"version", "v1"}, {"slots", m_options.m_slots},
-                      {"state", m_state}, {"cold-remaining-ms", 0}, {"stage", "prefill_decode"},
-                      {"sequence", ++m_sequence}, {"born", m_born}};
-        addWeights(Value);
-        Body = Value.dump();
+        Body = statement();
+        Late = m_late;
         Id = m_id;
         Address = m_beatAddress;
       }
-      for (std::size_t Try = 0; Try < m_all.m_cores.size() + 1 && m_up; ++Try) {
+      if (Late > 0) {
+        std::thread([this, Body, Id, Late] {
+          sleepFor(Late);
+          for (std::size_t Try = 0; Try < m_all.m_cores.size(); ++Try) {
+            Reply Answer = controlCall(m_all.m_cores[Try]->control(), "/Instances.Heartbeat/" + Id, "POST", Body);
+            if (Answer.m_status / 100 == 2)
+              break;
+          }
+        }).detach();
+      }
+      for (std::size_t Try = 0; Late <= 0 && Try < m_all.m_cores.size() + 1 && m_up; ++Try) {
         if (Address.empty())
           Address = m_all.m_cores[Next++ % m_all.m_cores.size()]->control();
         Reply Answer = controlCall(Address, "/Instances.Heartbeat/" + Id, "POST", Body);
@@ -790,6 +841,7 @@
   mutable std::mutex m_lock;
   std::string m_id, m_state, m_model, m_beatAddress;
   std::int64_t m_born = 0;
+  double m_late = 0;
   std::uint64_t m_sequence = 0, m_orders = 0, m_epoch = 0, m_fence = 0;
   Json m_group;
   std::vector<std::string> m_staged;
