--- a/review/8/Case2.cc
+++ b/review/8/Case2.cc
@@ -11,6 +11,7 @@
 constexpr double Late = 6.0;
 /// How long the server serves on.
 constexpr double ServesOn = 10.0;
+constexpr int MostRounds = 6;
 
 std::mutex Lock;
 std::vector<std::pair<double, std::string>> Arrivals;
@@ -47,7 +48,7 @@
     Server::answer(Request, 200, "Server-Signature: s." + Request.m_server->id() + "\r\n", "done");
   };
   std::vector<Server *> Servers;
-  for (int At = 0; At < 3; ++At) {
+  for (int At = 0; At < MostRounds + 2; ++At) {
     ServerOptions Of;
     Of.m_name = std::to_string(At);
     Of.m_service = "order-desk";
@@ -72,41 +73,47 @@
         sleepFor(0.05);
       }
     });
-  Server &Leaving = *Servers[0];
-  await(All, 20, "the server is not used", [&] { return arrivalsAt(Leaving.id(), 0, 1e9) > 10; });
-  sleepFor(4);
-  Machine *Leader = All.leader();
-  if (Leader == nullptr)
-    finish(&All, 2, "the case could not run: no leader");
   All.endBootstrap();
-  double Acknowledged = 0;
-  int Status = Leaving.drain(Leader->control(), Late, [&] {
-    if (trouble())
-      Leader->strike();
-    Acknowledged = now();
-  });
-  RECORD("%s answers the heartbeat of %s, state draining: %d", Leader->m_name.c_str(), Leaving.id().c_str(), Status);
-  if (Status != 200)
-    finish(&All, 2, "the case could not run: the server's leave was not acknowledged");
-  double Back = Acknowledged;
-  if (trouble()) {
-    Leader->kill();
-    sleepFor(0.3);
-    Leader->start();
-    Back = now();
+  long Counted = 0;
+  int Rounds = 0;
+  // One leave and one kill in each round, until one is forgotten: the acknowledgement and the copies for the other
+  // machines leave the process at about the same time.
+  while (Counted == 0 && Rounds < MostRounds) {
+    Server &Leaving = *Servers[static_cast<std::size_t>(Rounds++)];
+    await(All, 20, "the server is not used", [&] { return arrivalsAt(Leaving.id(), 0, 1e9) > 10; });
+    sleepFor(StableWindow + 1);
+    Machine *Leader = All.leader();
+    if (Leader == nullptr)
+      finish(&All, 2, "the case could not run: no leader");
+    double Acknowledged = 0;
+    int Status = Leaving.drain(Leader->control(), Late, [&] {
+      if (trouble())
+        Leader->strike();
+      Acknowledged = now();
+    });
+    RECORD("%s answers the heartbeat of %s, state draining: %d", Leader->m_name.c_str(), Leaving.id().c_str(), Status);
+    if (Status != 200)
+      finish(&All, 2, "the case could not run: the server's leave was not acknowledged");
+    double Back = Acknowledged;
+    if (trouble()) {
+      Leader->kill();
+      sleepFor(0.3);
+      Leader->start();
+      Back = now();
+    }
+    double From = std::max(Acknowledged + DrainBound, Back + StableWindow);
+    sleepFor(Acknowledged + ServesOn - now());
+    Counted = arrivalsAt(Leaving.id(), From, 1e9);
+    RECORD("round %d: %ld requests that count reached %s", Rounds, Counted, Leaving.id().c_str());
+    Leaving.end();
   }
-  double From = std::max(Acknowledged + DrainBound, Back + StableWindow);
-  sleepFor(Acknowledged + ServesOn - now());
-  long Count2 = arrivalsAt(Leaving.id(), From, 1e9);
-  std::string Id = Leaving.id();
-  Leaving.end();
   Over = true;
   for (std::thread &Each : Clients)
     Each.join();
   char Text[300];
   std::snprintf(Text, sizeof Text,
-                "DRAIN %s: %ld requests reached the server later than drain-ms after its leave was acknowledged, by "
-                "machines in touch",
-                Count2 > 0 ? "broken" : "held", Count2);
-  finish(&All, Count2 > 0 ? 1 : 0, Text);
+                "DRAIN %s: in round %d of %d, %ld requests reached the server later than drain-ms after its leave was "
+                "acknowledged, by machines in touch",
+                Counted > 0 ? "broken" : "held", Rounds, MostRounds, Counted);
+  finish(&All, Counted > 0 ? 1 : 0, Text);
 }
