Do not take a body that a reset cut off for a whole one

Callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: the reset is pending on the socket as an error that is reported once. HttpClientConnection writes before it reads, so while the upload goes on send(2) takes the error, and recv(2) then returns the rest of the body and 0, as after an orderly close. For a body without a length that 0 is its end. The same connection carries attempts at targets, requests that are passed on to another entry node, and the orders and probes of a coordinator.

Change: an error of send(2) is kept, and an end of the connection after it completes no body. EPIPE is the exception: the kernel reports it if the peer had closed its side in order before the reset, so a whole early answer whose server closes without reading the rest of the upload still arrives.

--- a/packages/coordinator/test/ServerCallsTest.cpp
+++ b/packages/coordinator/test/ServerCallsTest.cpp
@@ -8,6 +8,7 @@
 
 #include <doctest/doctest.h>
 
+#include "ScriptedServer.h"
 #include "absl/time/clock.h"
 #include "turmericdyke/Http"
 #include "turmericdyke/src/Coordinator/ServerCalls.h"
@@ -51,4 +52,38 @@
   CHECK(monotonicNow() - Started < Timeout / 2);
 }
 
+// Guards against a server in trouble whose bytes pass for an accepted order or
+// a report, or hold the call until its timeout.
+TEST_CASE("a broken answer to an order or a probe ends the call without a "
+          "status") {
+  struct Case {
+    std::string m_answer;
+    Ending m_end = Ending::Held;
+    std::size_t m_orderBytes = 2;
+  };
+  // The first order is larger than the buffers of both sockets.
+  for (const Case &Each : {Case{"HTTP/1.1 200 OK\r\n\r\n{\"staged\":[",
+                                Ending::Reset, 16 << 20}}) {
+    CAPTURE(Each.m_answer);
+    ScriptedServer Server(Each.m_answer, Each.m_end, absl::Milliseconds(50));
+    EventLoop Loop;
+    HttpClientPool Pool(Loop, {}, [] {});
+    ServerCalls Calls(Loop, Pool);
+    std::optional<ServerCallResult> Ended;
+    constexpr absl::Duration Timeout = absl::Seconds(4);
+    Instant Started = monotonicNow();
+    Calls.call(Server.address(),
+               requestBytes("POST", "/order", {{"Host", "h"}},
+                            std::string(Each.m_orderBytes, ' ')),
+               Timeout, [&](const ServerCallResult &Result) {
+                 Ended = Result;
+                 Loop.stop();
+               });
+    Loop.run();
+    REQUIRE(Ended);
+    CHECK(Ended->m_status == 0);
+    CHECK(monotonicNow() - Started < Timeout / 2);
+  }
+}
+
 } // namespace turmericdyke
--- /dev/null
+++ b/packages/http/test/BrokenResponseTest.cpp
@@ -0,0 +1,136 @@
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <doctest/doctest.h>
+
+#include "ScriptedServer.h"
+#include "absl/time/clock.h"
+#include "turmericdyke/Base"
+#include "turmericdyke/Http"
+
+using namespace turmericdyke;
+
+namespace {
+
+/// A call whose response can be judged ends within this time. It is far below
+/// any deadline, and above the pauses of a busy machine.
+constexpr absl::Duration AtOnce = absl::Seconds(2);
+constexpr absl::Duration TestLimit = absl::Seconds(8);
+/// More than the buffers of both sockets take.
+constexpr std::size_t UploadBytes = 16 << 20;
+
+struct EndedCall : ClientCallEvents {
+  explicit EndedCall(EventLoop &Loop) : m_loop(Loop) {}
+  bool onResponseHead(const HttpResponseHead &Head) override {
+    m_head = Head;
+    return true;
+  }
+  void onResponseBody(std::string_view Bytes) override { m_body.append(Bytes); }
+  void onCallEnd(ClientCallStatus End) override {
+    m_end = End;
+    m_loop.stop();
+  }
+
+  EventLoop &m_loop;
+  std::optional<HttpResponseHead> m_head;
+  std::string m_body;
+  std::optional<ClientCallStatus> m_end;
+  absl::Duration m_took;
+};
+
+struct CallOptions {
+  std::size_t m_uploadBytes = 0;
+  /// The client's loop stands still for this long, so that everything that the
+  /// server does has arrived when it goes on.
+  absl::Duration m_standstill = absl::ZeroDuration();
+  /// Reading pauses for this long, as it does for a slow caller.
+  absl::Duration m_readPause = absl::ZeroDuration();
+};
+
+EndedCall call(const ScriptedServer &Server, const CallOptions &Options = {}) {
+  EventLoop Loop;
+  EndedCall Ended(Loop);
+  HttpClientConnection Connection(Loop, Server.address(), {});
+  Instant Started = monotonicNow();
+  Connection.call(requestBytes("POST", "/", {{"Host", "h"}},
+                               std::string(Options.m_uploadBytes, 'u')),
+                  false, Ended);
+  EventLoop::Timer Standstill = Loop.after(absl::Milliseconds(20), [&Options] {
+    absl::SleepFor(Options.m_standstill);
+  });
+  EventLoop::Timer Pause;
+  EventLoop::Timer Resume;
+  if (Options.m_readPause > absl::ZeroDuration()) {
+    Pause = Loop.after(absl::Milliseconds(10),
+                       [&Connection] { Connection.setReading(false); });
+    Resume = Loop.after(Options.m_readPause,
+                        [&Connection] { Connection.setReading(true); });
+  }
+  EventLoop::Timer Limit = Loop.after(TestLimit, [&Loop] { Loop.stop(); });
+  Loop.run();
+  Ended.m_took = monotonicNow() - Started;
+  for (EventLoop::Timer *Each : {&Standstill, &Pause, &Resume, &Limit})
+    Loop.cancel(*Each);
+  Connection.cancel();
+  return Ended;
+}
+
+/// The ways in which the end of a connection can meet a client that is still
+/// sending.
+const CallOptions Uploads[] = {
+    {UploadBytes},
+    {UploadBytes, absl::Milliseconds(300)},
+    {UploadBytes, absl::ZeroDuration(), absl::Milliseconds(300)}};
+
+const std::string Unframed = "HTTP/1.1 200 OK\r\nServer: s\r\n\r\n";
+
+} // namespace
+
+// Guards against part of a body that is taken for all of it: send(2) reports
+// the reset while the client is still sending, and recv(2) then returns 0 as
+// after an orderly close.
+TEST_CASE("a body without a length is incomplete if its connection is reset "
+          "while the request is sent") {
+  ScriptedServer Server(Unframed + "half", Ending::Reset,
+                        absl::Milliseconds(50));
+  for (const CallOptions &Options : Uploads) {
+    CAPTURE(Options.m_standstill);
+    CAPTURE(Options.m_readPause);
+    EndedCall Ended = call(Server, Options);
+    CHECK(Ended.m_end == ClientCallStatus::Broken);
+    CHECK(Ended.m_took < AtOnce);
+  }
+}
+
+// Guards against a fix that takes every connection that fails while the client
+// sends for a broken one: an early response may be whole.
+TEST_CASE("a body without a length is complete if its connection ends in "
+          "order, also while the request is sent") {
+  for (Ending End : {Ending::InOrder, Ending::InOrderThenReset}) {
+    ScriptedServer Server(Unframed + "whole", End, absl::Milliseconds(50));
+    for (const CallOptions &Options : Uploads) {
+      CAPTURE(static_cast<int>(End));
+      CAPTURE(Options.m_standstill);
+      CAPTURE(Options.m_readPause);
+      EndedCall Ended = call(Server, Options);
+      CHECK(Ended.m_end == ClientCallStatus::Complete);
+      CHECK(Ended.m_body == "whole");
+    }
+  }
+}
+
+TEST_CASE("a body with a length or chunks is complete although its connection "
+          "is reset behind it") {
+  for (const char *Answer :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"
+        "0\r\n\r\n"}) {
+    ScriptedServer Server(Answer, Ending::Reset, absl::Milliseconds(50));
+    for (const CallOptions &Options : Uploads) {
+      EndedCall Ended = call(Server, Options);
+      CHECK(Ended.m_end == ClientCallStatus::Complete);
+      CHECK(Ended.m_body == "whole");
+    }
+  }
+}
--- a/packages/http/turmericdyke/src/Http/HttpClientConnection.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpClientConnection.cpp
@@ -66,6 +66,7 @@
   m_sent = 0;
   m_lastSent = monotonicNow();
   m_sendFailed = false;
+  m_endsInError = false;
   m_isHead = IsHead;
   m_skipping = false;
   m_accepted = false;
@@ -136,6 +137,9 @@
     if (Count < 0) {
       m_socketError = errno;
       m_sendFailed = true;
+      // EPIPE: the peer had ended its side in order before. Any other error is
+      // reported here only, and recv(2) returns 0 after it.
+      m_endsInError = m_socketError != EPIPE;
       // The response may have arrived before the connection broke.
       m_output.resize(m_sent);
       m_reusable = false;
@@ -182,8 +186,8 @@
   }
   std::shared_ptr<bool> Alive = m_alive;
   // A body without a length ends with an orderly close, but not with a reset.
-  bool BodyEnded =
-      Count == 0 && m_reader.insideMessage() && m_reader.endOfInput();
+  bool InOrder = Count == 0 && !m_endsInError;
+  bool BodyEnded = InOrder && m_reader.insideMessage() && m_reader.endOfInput();
   if (!*Alive || m_events == nullptr)
     return;
   endCall(BodyEnded && m_messageEnded ? ClientCallStatus::Complete
--- a/packages/http/turmericdyke/src/Http/HttpClientConnection.h
+++ b/packages/http/turmericdyke/src/Http/HttpClientConnection.h
@@ -121,6 +121,8 @@
   std::size_t m_sent = 0;
   Instant m_lastSent = absl::InfinitePast();
   bool m_sendFailed = false;
+  /// The connection broke, although the socket will report an orderly end.
+  bool m_endsInError = false;
   RequestDelivery m_delivery;
   bool m_isHead = false;
   bool m_skipping = false;
