End a response whose status is no HTTP status

Callers saw: a server in trouble answered with the status 999, and the caller got that as the answer. With the status 000 the caller got nothing until its deadline, then a 504. Both also over another entry node, and an order of a coordinator waited for its timeout.

Cause: http_parser accepts any number up to 999 in the status line. A number below 200 was taken for an interim response, which is skipped, and one above 599 for a failure that the server states.

Change: HttpReader ends as malformed with a status line whose number is not a status of RFC 9110 (100 to 599). The check runs as soon as the number has arrived, so neither the rest of the head nor the end of the connection is awaited, and nothing else in such a head is believed, such as that the request was not run.

--- a/packages/coordinator/test/ServerCallsTest.cpp
+++ b/packages/coordinator/test/ServerCallsTest.cpp
@@ -56,14 +56,16 @@
 // a report, or hold the call until its timeout.
 TEST_CASE("a broken answer to an order or a probe ends the call without a "
           "status") {
+  const std::string Body = "Content-Length: 2\r\n\r\n{}";
   struct Case {
     std::string m_answer;
     Ending m_end = Ending::Held;
     std::size_t m_orderBytes = 2;
   };
   // The first order is larger than the buffers of both sockets.
-  for (const Case &Each : {Case{"HTTP/1.1 200 OK\r\n\r\n{\"staged\":[",
-                                Ending::Reset, 16 << 20}}) {
+  for (const Case &Each :
+       {Case{"HTTP/1.1 200 OK\r\n\r\n{\"staged\":[", Ending::Reset, 16 << 20},
+        Case{"HTTP/1.1 000 Trouble\r\n" + Body}}) {
     CAPTURE(Each.m_answer);
     ScriptedServer Server(Each.m_answer, Each.m_end, absl::Milliseconds(50));
     EventLoop Loop;
--- a/packages/http/test/BrokenResponseTest.cpp
+++ b/packages/http/test/BrokenResponseTest.cpp
@@ -134,3 +134,38 @@
     }
   }
 }
+
+// Guards against bytes that are no response and reach a caller as one, or hold
+// the call until its deadline. The server keeps its connection open, so that
+// only the client can end the call.
+TEST_CASE("a response whose status is no HTTP status ends the call") {
+  const std::string Whole = "\r\nContent-Length: 3\r\n\r\nbad";
+  for (const std::string &Answer :
+       {"HTTP/1.1 000 Trouble" + Whole, "HTTP/1.1 000" + Whole,
+        "HTTP/1.1 000 " + Whole, "HTTP/1.1 042 Trouble" + Whole,
+        "HTTP/1.1 20 OK" + Whole, "HTTP/1.1 600 Trouble" + Whole,
+        "HTTP/1.1 999 Trouble" + Whole,
+        // The head need not be complete.
+        std::string("HTTP/1.1 000 Trouble\r\n"),
+        std::string("HTTP/1.1 000 Tro"),
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble" + Whole}) {
+    CAPTURE(Answer);
+    ScriptedServer Server(Answer, Ending::Held);
+    EndedCall Ended = call(Server);
+    CHECK(Ended.m_end == ClientCallStatus::Malformed);
+    CHECK_FALSE(Ended.m_head);
+    CHECK(Ended.m_took < AtOnce);
+  }
+}
+
+TEST_CASE("every status from 200 to 599 is that of a response") {
+  for (int Status : {200, 203, 299, 302, 418, 499, 500, 599}) {
+    ScriptedServer Server("HTTP/1.1 " + std::to_string(Status) +
+                              "\r\nContent-Length: 5\r\n\r\nwhole",
+                          Ending::Held);
+    EndedCall Ended = call(Server);
+    CHECK(Ended.m_end == ClientCallStatus::Complete);
+    REQUIRE(Ended.m_head);
+    CHECK(Ended.m_head->m_status == Status);
+  }
+}
--- a/packages/http/turmericdyke/src/Http/HttpReader.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -2,6 +2,8 @@
 
 #include <http_parser.h>
 
+#include "turmericdyke/src/Base/HttpSyntax.h"
+
 namespace turmericdyke {
 
 namespace internal {
@@ -13,7 +15,8 @@
 } // namespace
 } // namespace internal
 
-/// The callbacks of http_parser. Each returns 0 to continue.
+/// The callbacks of http_parser. Each returns 0 to continue, another number if
+/// the bytes are not a message.
 struct HttpReader::Parser {
   http_parser m_state{};
   http_parser_settings m_callbacks{};
@@ -30,6 +33,9 @@
     self(State).m_request.m_target.append(At, Size);
     return 0;
   }
+  static int onStatus(http_parser *State, const char *, std::size_t) {
+    return isStatusCode(static_cast<int>(State->status_code)) ? 0 : 1;
+  }
   static int onName(http_parser *State, const char *At, std::size_t Size) {
     HttpReader &Reader = self(State);
     Reader.flushField();
@@ -63,6 +69,7 @@
     : m_side(Kind), m_events(Events), m_parser(std::make_unique<Parser>()) {
   m_parser->m_callbacks.on_message_begin = &Parser::onBegin;
   m_parser->m_callbacks.on_url = &Parser::onUrl;
+  m_parser->m_callbacks.on_status = &Parser::onStatus;
   m_parser->m_callbacks.on_header_field = &Parser::onName;
   m_parser->m_callbacks.on_header_value = &Parser::onValue;
   m_parser->m_callbacks.on_headers_complete = &Parser::onHeadComplete;
