Reject a response whose head has a line that begins with a blank

Callers saw: a line of a head whose name begins with a blank was passed on as part of the value before it, in the test as "Server-Signature: sig Name: 1". By reading, not run: behind the identifier of the request it makes the response that of another request, and the caller waits for its deadline.

Cause: http_parser reads such a line as a folded value and joins it to the line before.

Change: HttpReader looks at the first byte of each line of a response's head and ends as malformed at the first blank, before the head is reported. RFC 9112, section 5.2, lets a gateway reject a response with a folded line; no server may send one. Requests are read as before.

--- a/packages/http/test/HttpReaderTest.cpp
+++ b/packages/http/test/HttpReaderTest.cpp
@@ -137,3 +137,38 @@
     Status = readAll(Reader, std::string(1 << 10, 'e'));
   CHECK(Status == HttpReadStatus::Malformed);
 }
+
+// Guards against a check that depends on how the bytes of a head arrive.
+TEST_CASE("a response is rejected or accepted however its bytes are split") {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::string End = "Content-Length: 2\r\n\r\n b";
+  auto ReadSplit = [](const std::string &Bytes, std::size_t At,
+                      RecordedEvents &Events) {
+    HttpReader Reader(HttpReader::Side::Responses, Events);
+    HttpReadStatus Status = readAll(Reader, Bytes.substr(0, At));
+    return Status == HttpReadStatus::Malformed
+               ? Status
+               : readAll(Reader, Bytes.substr(At));
+  };
+  for (const std::string &Bytes :
+       {"HTTP/1.1 000 X\r\n" + End, Ok + "Bad Name: 1\r\n" + End,
+        Ok + "Trailing : 1\r\n" + End, Ok + " Leading: 1\r\n" + End,
+        Ok + "Sound: 1\r\n Leading: 1\r\n" + End,
+        Ok + "Empty:\r\n\tLeading: 1\r\n" + End})
+    for (std::size_t At = 1; At < Bytes.size(); ++At) {
+      CAPTURE(Bytes);
+      CAPTURE(At);
+      RecordedEvents Events;
+      CHECK(ReadSplit(Bytes, At, Events) == HttpReadStatus::Malformed);
+      CHECK(Events.m_heads == 0);
+    }
+  const std::string Sound = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+                            Ok + "Empty:\r\nPadded: \t 1 \t\r\n" + End;
+  for (std::size_t At = 1; At < Sound.size(); ++At) {
+    CAPTURE(At);
+    RecordedEvents Events;
+    CHECK(ReadSplit(Sound, At, Events) == HttpReadStatus::MessageEnded);
+    CHECK(Events.m_heads == 2);
+    CHECK(Events.m_body == " b");
+  }
+}
--- a/packages/http/turmericdyke/src/Http/HttpReader.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -92,6 +92,8 @@
   m_ended = false;
   m_valueSeen = false;
   m_invalidName = false;
+  m_statusLineRead = false;
+  m_lineBytes = 0;
   m_name.clear();
   m_value.clear();
   m_request = HttpRequest();
@@ -146,7 +148,29 @@
          m_maxHeadBytes + internal::MaxFramingPerBodyByte * m_bodyBytes;
 }
 
+bool HttpReader::findFoldedLine(std::string_view Bytes) {
+  for (char C : Bytes) {
+    if (C == '\n') {
+      bool HeadEnds = m_lineBytes == 0 && m_statusLineRead;
+      if (HeadEnds)
+        return false;
+      m_statusLineRead = m_statusLineRead || m_lineBytes > 0;
+      m_lineBytes = 0;
+    } else if (C != '\r') {
+      if (m_lineBytes == 0 && m_statusLineRead && (C == ' ' || C == '\t'))
+        return true;
+      ++m_lineBytes;
+    }
+  }
+  return false;
+}
+
 HttpReadStatus HttpReader::feed(std::string_view Bytes, std::size_t &Consumed) {
+  Consumed = 0;
+  // http_parser joins such a line to the value before it. A gateway may reject
+  // the response (RFC 9112, section 5.2).
+  if (m_side == Side::Responses && !m_headDone && findFoldedLine(Bytes))
+    return HttpReadStatus::Malformed;
   bool HeadWasDone = m_headDone;
   std::size_t BodyBefore = m_bodyBytes;
   Consumed = http_parser_execute(&m_parser->m_state, &m_parser->m_callbacks,
--- a/packages/http/turmericdyke/src/Http/HttpReader.h
+++ b/packages/http/turmericdyke/src/Http/HttpReader.h
@@ -71,6 +71,9 @@
 
   void reset();
   bool isFramingTooLarge() const;
+  /// Whether `Bytes`, which continue the head of a response, hold the begin of
+  /// a line that begins with a blank.
+  bool findFoldedLine(std::string_view Bytes);
   void flushField();
   int headComplete();
 
@@ -88,6 +91,10 @@
   bool m_ended = false;
   bool m_valueSeen = false;
   bool m_invalidName = false;
+  /// Of the head of a response: whether its first line has ended, and the bytes
+  /// of the current line.
+  bool m_statusLineRead = false;
+  std::size_t m_lineBytes = 0;
   std::string m_name;
   std::string m_value;
   HttpRequest m_request;
