End a message at once when a field name is no token

Callers saw: a server in trouble sent a head in which the name of a field held a blank, and no more. The caller waited for its deadline and got a 504. A name with a blank in the last trailer of a chunked body was overlooked.

Cause: http_parser accepts blanks in names. HttpReader looked for them only when the next field began or the head ended, which never came, and the last trailer has no next field.

Change: each part of a name is compared with the characters of a token (RFC 9110, section 5.6.2) as it arrives. This covers trailers too, and requests.

Already so before: a name with a blank in a complete head, and one with a control byte anywhere, ended the attempt as malformed; their tests stay.

Names of all characters of a token passed before and pass now.

--- a/packages/coordinator/test/ServerCallsTest.cpp
+++ b/packages/coordinator/test/ServerCallsTest.cpp
@@ -65,7 +65,9 @@
   // The first order is larger than the buffers of both sockets.
   for (const Case &Each :
        {Case{"HTTP/1.1 200 OK\r\n\r\n{\"staged\":[", Ending::Reset, 16 << 20},
-        Case{"HTTP/1.1 000 Trouble\r\n" + Body}}) {
+        Case{"HTTP/1.1 000 Trouble\r\n" + Body},
+        Case{"HTTP/1.1 200 OK\r\nBad Name: 1\r\n" + Body},
+        Case{"HTTP/1.1 200 OK\r\nBad\x02Name: 1\r\n" + Body}}) {
     CAPTURE(Each.m_answer);
     ScriptedServer Server(Each.m_answer, Each.m_end, absl::Milliseconds(50));
     EventLoop Loop;
--- a/packages/http/test/BrokenResponseTest.cpp
+++ b/packages/http/test/BrokenResponseTest.cpp
@@ -158,6 +158,82 @@
   }
 }
 
+TEST_CASE("a response with a field name that is no token ends the call") {
+  const std::string Begin = "HTTP/1.1 200 OK\r\n";
+  const std::string End = "Content-Length: 3\r\n\r\nbad";
+  std::vector<std::string> Names = {
+      "Bad Name",  " Leading",   "Trailing ",
+      "Tab\tName", "Trailing\t", "Transfer-Encoding ",
+      "Bad\rName", "Bad\nName",  "",
+      "Name\x7f",  "Name\x80",   "Name\"",
+      "Name(",     "Name/",      "Name[",
+      "Name{"};
+  for (char Control = 0; Control < ' '; ++Control)
+    Names.push_back(std::string("Control") + Control + "Name");
+  for (const std::string &Name : Names)
+    for (const std::string &Answer : {
+             Begin + Name + ": 1\r\n" + End,
+             Begin + Name + ":\r\n" + End,
+             Begin + "Sound: 1\r\n" + Name + ": 1\r\n" + End,
+             // The head need not be complete.
+             Begin + Name + ": 1",
+         }) {
+      CAPTURE(Answer);
+      ScriptedServer Server(Answer, Ending::Held);
+      EndedCall Ended = call(Server);
+      CHECK(Ended.m_end == ClientCallStatus::Malformed);
+      CHECK_FALSE(Ended.m_head);
+      CHECK(Ended.m_took < AtOnce);
+    }
+}
+
+TEST_CASE("an interim response or a trailer with a field name that is no token "
+          "ends the call") {
+  const std::string Final = "HTTP/1.1 200 OK\r\n";
+  for (const std::string &Answer :
+       {"HTTP/1.1 103 Early Hints\r\nBad Name: 1\r\n\r\n" + Final +
+            "Content-Length: 5\r\n\r\nwhole",
+        Final + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+                "Bad Name: 1\r\n\r\n",
+        Final + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+                "Bad\x01Name: 1\r\n\r\n"}) {
+    CAPTURE(Answer);
+    ScriptedServer Server(Answer, Ending::Held);
+    EndedCall Ended = call(Server);
+    CHECK(Ended.m_end == ClientCallStatus::Malformed);
+    CHECK(Ended.m_took < AtOnce);
+  }
+}
+
+TEST_CASE("interim responses, trailers and every field name that is a token "
+          "are accepted") {
+  const std::string Token = "!#$%&'*+-.^_`|~0123456789"
+                            "abcdefghijklmnopqrstuvwxyz"
+                            "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+  std::string Head = "HTTP/1.1 200 OK\r\n" + Token + ": all\r\n";
+  for (char Each : Token)
+    Head += std::string(1, Each) + ":" + Each + "\r\n";
+  const std::string Interim =
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 102 Processing\r\n" +
+      Token + ": 1\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  for (const std::string &Answer :
+       {Interim + Head + "Content-Length: 5\r\n\r\nwhole",
+        Interim + Head +
+            "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nwhole\r\n"
+            "0\r\n" +
+            Token + ": 1\r\nLast: 2\r\n\r\n"}) {
+    ScriptedServer Server(Answer, Ending::Held);
+    EndedCall Ended = call(Server);
+    CHECK(Ended.m_end == ClientCallStatus::Complete);
+    CHECK(Ended.m_body == "whole");
+    REQUIRE(Ended.m_head);
+    CHECK(Ended.m_head->m_fields.find(Token) == "all");
+    CHECK(Ended.m_head->m_fields.find("~") == "~");
+    CHECK(Ended.m_took < AtOnce);
+  }
+}
+
 TEST_CASE("every status from 200 to 599 is that of a response") {
   for (int Status : {200, 203, 299, 302, 418, 499, 500, 599}) {
     ScriptedServer Server("HTTP/1.1 " + std::to_string(Status) +
--- a/packages/http/turmericdyke/src/Http/HttpReader.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -40,7 +40,9 @@
     HttpReader &Reader = self(State);
     Reader.flushField();
     Reader.m_name.append(At, Size);
-    return 0;
+    // http_parser accepts a space in a name; another parser could interpret
+    // "Content-Length :" as a length. The last part of a name may be empty.
+    return Size == 0 || isFieldName({At, Size}) ? 0 : 1;
   }
   static int onValue(http_parser *State, const char *At, std::size_t Size) {
     HttpReader &Reader = self(State);
@@ -91,7 +93,6 @@
   m_headDone = false;
   m_ended = false;
   m_valueSeen = false;
-  m_invalidName = false;
   m_statusLineRead = false;
   m_lineBytes = 0;
   m_name.clear();
@@ -105,10 +106,6 @@
     return;
   HttpFields &Fields =
       m_side == Side::Requests ? m_request.m_fields : m_response.m_fields;
-  // http_parser accepts a space in a name; another parser could interpret
-  // "Content-Length :" as a length.
-  if (m_name.find(' ') != std::string::npos)
-    m_invalidName = true;
   // A line after the body of a chunked message is a trailer, which is ignored.
   if (!m_headDone)
     Fields.add(m_name, m_value);
@@ -137,9 +134,6 @@
         m_response.m_status != 204 && m_response.m_status != 304;
   }
   constexpr int SkipBody = 1;
-  constexpr int Refuse = -1;
-  if (m_invalidName)
-    return Refuse;
   return m_events.onHead() ? 0 : SkipBody;
 }
 
@@ -181,7 +175,7 @@
     return HttpReadStatus::HeadTooLarge;
   if (HeadWasDone)
     m_framingBytes += Consumed - (m_bodyBytes - BodyBefore);
-  if (m_invalidName || isFramingTooLarge())
+  if (isFramingTooLarge())
     return HttpReadStatus::Malformed;
   http_errno Error = HTTP_PARSER_ERRNO(&m_parser->m_state);
   if (Error == HPE_HEADER_OVERFLOW)
--- a/packages/http/turmericdyke/src/Http/HttpReader.h
+++ b/packages/http/turmericdyke/src/Http/HttpReader.h
@@ -90,7 +90,6 @@
   bool m_headDone = false;
   bool m_ended = false;
   bool m_valueSeen = false;
-  bool m_invalidName = false;
   /// Of the head of a response: whether its first line has ended, and the bytes
   /// of the current line.
   bool m_statusLineRead = false;
