Read the answers of targets on the product's own ports with HttpReader

Callers saw: a service in trouble answered with the status 000 or with a field name that holds a blank or a control byte, and its answer was taken for the outcome of the call: "ran", or "not run" if a further line said so. A once-only call was recorded so. If the head stopped behind such a line, the caller waited for the limits of the attempt.

Cause: the edge read answers with cpp-httplib, which checks neither numbers nor names, drops lines that it cannot read, and shows a head only when it is complete.

Change: TargetConnection uses HttpClientConnection, as the platform's roles do, on one event loop for all attempts of a node in place of a thread for each. The caller's thread still takes events from a queue that is bounded to 256 KiB. Bytes that are no response end the attempt at once as malformed, and the call may have run; trailers and interim responses of any kind are read. What is asked of sound answers stays: a body without a length counts as broken, as it did.

Already so before: an answer without a length that is reset within the upload was no answer here; its test stays.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -19,7 +19,7 @@
 set(TURMERICDYKE_ALLOWED_requests base)
 set(TURMERICDYKE_ALLOWED_peer base fleet consensus loop)
 set(TURMERICDYKE_ALLOWED_entry base loop http fleet catalog routing serving feed consensus peer)
-set(TURMERICDYKE_ALLOWED_edge base loop fleet declaration consensus storage control membership formation
+set(TURMERICDYKE_ALLOWED_edge base loop http fleet declaration consensus storage control membership formation
     routing admission requests peer)
 set(TURMERICDYKE_ALLOWED_node ${TURMERICDYKE_ALLOWED_edge} edge)
 set(TURMERICDYKE_ALLOWED_coordinator ${TURMERICDYKE_ALLOWED_node} http catalog groups feed node)
--- a/packages/edge/turmericdyke/src/Edge/AttemptRun.cpp
+++ b/packages/edge/turmericdyke/src/Edge/AttemptRun.cpp
@@ -16,11 +16,12 @@
 } // namespace
 } // namespace internal
 
-AttemptRun::AttemptRun(const AttemptId &Attempt, ResponseFormat Shape,
-                       const AttemptLimits &Limits, TargetCall Call)
-    : m_attempt(Attempt), m_address(Call.m_address),
+AttemptRun::AttemptRun(TargetLoop &Loop, const AttemptId &Attempt,
+                       ResponseFormat Shape, const AttemptLimits &Limits,
+                       const TargetCall &Call)
+    : m_loop(Loop), m_attempt(Attempt), m_address(Call.m_address),
       m_machine(Attempt, Shape, Limits, monotonicNow()),
-      m_connection(std::move(Call)) {
+      m_connection(Loop, Call) {
   m_machine.onSending();
 }
 
@@ -80,11 +81,10 @@
   Call.m_address = m_address;
   Call.m_method = "POST";
   Call.m_path = "/v1/cancel";
-  Call.m_headers = {{"Content-Type", "application/json"}};
+  Call.m_fields = {{"Content-Type", "application/json"}};
   Call.m_body = nlohmann::json{{"attempt", m_attempt.str()}}.dump();
   Call.m_connectTimeout = internal::CancelTimeout;
-  Call.m_readTimeout = internal::CancelTimeout;
-  TargetConnection Cancel(std::move(Call));
+  TargetConnection Cancel(m_loop, Call);
   Instant Until = monotonicNow() + 2 * internal::CancelTimeout;
   while (monotonicNow() < Until) {
     std::optional<ConnectionEvent> Event = Cancel.next(Until - monotonicNow());
--- a/packages/edge/turmericdyke/src/Edge/AttemptRun.h
+++ b/packages/edge/turmericdyke/src/Edge/AttemptRun.h
@@ -11,8 +11,8 @@
 /// actions of its state machine. Not thread-safe.
 class AttemptRun {
 public:
-  AttemptRun(const AttemptId &Attempt, ResponseFormat Shape,
-             const AttemptLimits &Limits, TargetCall Call);
+  AttemptRun(TargetLoop &Loop, const AttemptId &Attempt, ResponseFormat Shape,
+             const AttemptLimits &Limits, const TargetCall &Call);
 
   /// Waits for bytes to forward or for the end of the attempt.
   /// `IsCallerConnected` is polled while the target sends nothing. Closes the
@@ -29,6 +29,7 @@
   void applyActions(const AttemptActions &Actions);
   void cancelAtTarget();
 
+  TargetLoop &m_loop;
   AttemptId m_attempt;
   std::string m_address;
   std::string m_contentType;
--- a/packages/edge/turmericdyke/src/Edge/EdgeServices.h
+++ b/packages/edge/turmericdyke/src/Edge/EdgeServices.h
@@ -13,6 +13,7 @@
 #include "turmericdyke/src/Edge/AdmissionGate.h"
 #include "turmericdyke/src/Edge/ClusterView.h"
 #include "turmericdyke/src/Edge/ReplicaRouter.h"
+#include "turmericdyke/src/Edge/TargetLoop.h"
 #include "turmericdyke/src/Requests/RetryBudget.h"
 #include "turmericdyke/src/Requests/RetryPolicy.h"
 
@@ -25,6 +26,7 @@
   ViewHolder m_views;
   ReplicaRouter m_router;
   AdmissionGate m_gate;
+  TargetLoop m_targets;
   /// This node's name and the incarnation of this process; together they make
   /// request identifiers unique.
   NodeId m_node;
--- a/packages/edge/turmericdyke/src/Edge/Exchange.cpp
+++ b/packages/edge/turmericdyke/src/Edge/Exchange.cpp
@@ -15,9 +15,8 @@
 namespace internal {
 namespace {
 
-httplib::Headers attemptHeaders(const CompletionCall &Call,
-                                const AttemptId &Attempt,
-                                const ServingReplica &Replica) {
+HttpFields attemptFields(const CompletionCall &Call, const AttemptId &Attempt,
+                         const ServingReplica &Replica) {
   return {
       {"Content-Type", "application/json"},
       {"X-Turmericdyke-Request", Call.m_request.str()},
@@ -111,10 +110,10 @@
   Call.m_address = m_replica->m_headAddress;
   Call.m_method = "POST";
   Call.m_path = m_call.m_path;
-  Call.m_headers = internal::attemptHeaders(m_call, m_attempt, *m_replica);
+  Call.m_fields = internal::attemptFields(m_call, m_attempt, *m_replica);
   Call.m_body = m_call.m_body;
-  m_run =
-      std::make_unique<AttemptRun>(m_attempt, Shape, Limits, std::move(Call));
+  m_run = std::make_unique<AttemptRun>(m_services.m_targets, m_attempt, Shape,
+                                       Limits, Call);
   return true;
 }
 
--- a/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
+++ b/packages/edge/turmericdyke/src/Edge/ServiceHandler.cpp
@@ -127,14 +127,15 @@
   Sent.m_address = Endpoint.m_address;
   Sent.m_method = Call.m_method;
   Sent.m_path = Call.m_path;
-  Sent.m_headers = {{"X-Turmericdyke-Request", Call.m_request.str()},
-                    {"X-Turmericdyke-Attempt", Attempt.str()}};
+  Sent.m_fields = {{"X-Turmericdyke-Request", Call.m_request.str()},
+                   {"X-Turmericdyke-Attempt", Attempt.str()}};
   if (!Call.m_contentType.empty())
-    Sent.m_headers.emplace("Content-Type", Call.m_contentType);
+    Sent.m_fields.add("Content-Type", Call.m_contentType);
   if (!Call.m_idempotencyKey.empty())
-    Sent.m_headers.emplace("Idempotency-Key", Call.m_idempotencyKey);
+    Sent.m_fields.add("Idempotency-Key", Call.m_idempotencyKey);
   Sent.m_body = Call.m_body;
-  AttemptRun Run(Attempt, ResponseFormat::Plain, Limits, std::move(Sent));
+  AttemptRun Run(m_services.m_targets, Attempt, ResponseFormat::Plain, Limits,
+                 Sent);
   // Service calls are short. They are completed even if the caller has
   // disconnected, so that the record of a once-only call gets its outcome.
   AttemptActions Actions = Run.next([] { return true; });
--- a/packages/edge/turmericdyke/src/Edge/TargetConnection.cpp
+++ b/packages/edge/turmericdyke/src/Edge/TargetConnection.cpp
@@ -1,6 +1,11 @@
 #include "turmericdyke/src/Edge/TargetConnection.h"
 
-#include <chrono>
+#include <deque>
+#include <utility>
+
+#include "absl/synchronization/mutex.h"
+#include "turmericdyke/src/Edge/TargetLoop.h"
+#include "turmericdyke/src/Http/HttpClientConnection.h"
 
 namespace turmericdyke {
 
@@ -10,123 +15,159 @@
 // Backpressure: reading from the target pauses when a slow caller has this many
 // bytes queued, so that memory use is bounded.
 constexpr std::size_t MaxQueuedBytes = 256 << 10;
-constexpr absl::Duration StopRetryInterval = absl::Milliseconds(20);
+/// The limits of an attempt are shorter.
+constexpr absl::Duration UnresponsiveTimeout = absl::Seconds(60);
 
-ResponseHead headOf(const httplib::Response &Response) {
+ResponseHead headOf(const HttpResponseHead &Response) {
   ResponseHead Head;
-  Head.m_status = Response.status;
+  Head.m_status = Response.m_status;
   Head.m_attempt =
-      AttemptId(Response.get_header_value("X-Turmericdyke-Attempt"));
+      AttemptId(Response.m_fields.find("X-Turmericdyke-Attempt").value_or(""));
   Head.m_statesNotRun =
-      Response.get_header_value("X-Turmericdyke-Outcome") == "not_run";
+      Response.m_fields.find("X-Turmericdyke-Outcome") == "not_run";
   return Head;
 }
 
-/// Whether the body has a length or is chunked. Without either, the end of the
-/// body cannot be distinguished from a broken connection.
-bool isFramed(const httplib::Response &Response) {
-  return Response.has_header("Content-Length") ||
-         Response.get_header_value("Transfer-Encoding") == "chunked";
-}
-
-bool neverConnected(httplib::Error Error) {
-  return Error == httplib::Error::Connection ||
-         Error == httplib::Error::ConnectionTimeout ||
-         Error == httplib::Error::BindIPAddress;
+std::string bytesOf(const TargetCall &Call) {
+  HttpFields Fields = Call.m_fields;
+  Fields.set("Host", Call.m_address);
+  Fields.set("Accept-Encoding", "identity");
+  Fields.set("Connection", "close");
+  return requestBytes(Call.m_method, Call.m_path, Fields, Call.m_body);
 }
 
 } // namespace
 } // namespace internal
 
-TargetConnection::TargetConnection(TargetCall Call)
-    : m_call(std::move(Call)), m_client("http://" + m_call.m_address) {
-  m_client.set_connection_timeout(
-      absl::ToChronoMilliseconds(m_call.m_connectTimeout));
-  m_client.set_read_timeout(absl::ToChronoMilliseconds(m_call.m_readTimeout));
-  m_client.set_tcp_nodelay(true);
-  m_client.set_keep_alive(false);
-  m_thread = std::thread([this] { run(); });
+/// Reads the answer on the loop's thread and queues its events for the caller's
+/// thread.
+class TargetConnection::Reader : public ClientCallEvents {
+public:
+  /// The following are called on the loop's thread.
+  void begin(EventLoop &Loop, const TargetCall &Call);
+  void end();
+  /// Goes on reading if the queue has room again.
+  void resume();
+  bool onResponseHead(const HttpResponseHead &Head) override;
+  void onResponseBody(std::string_view Bytes) override;
+  void onCallEnd(ClientCallStatus End) override;
+
+  /// Called on the caller's thread. `MadeRoom` returns whether the queue was
+  /// full before.
+  std::optional<ConnectionEvent> next(absl::Duration Timeout, bool &MadeRoom);
+
+private:
+  ConnectionEnd endOf(ClientCallStatus End) const;
+  void push(ConnectionEvent Event);
+  bool hasEvent() const ABSL_SHARED_LOCKS_REQUIRED(m_lock) {
+    return !m_events.empty();
+  }
+  bool isFull() const ABSL_SHARED_LOCKS_REQUIRED(m_lock) {
+    return m_queuedBytes >= internal::MaxQueuedBytes;
+  }
+
+  std::unique_ptr<HttpClientConnection> m_connection;
+  bool m_endsWithConnection = false;
+  absl::Mutex m_lock;
+  std::deque<ConnectionEvent> m_events ABSL_GUARDED_BY(m_lock);
+  std::size_t m_queuedBytes ABSL_GUARDED_BY(m_lock) = 0;
+};
+
+void TargetConnection::Reader::begin(EventLoop &Loop, const TargetCall &Call) {
+  ClientConnectionOptions Options;
+  Options.m_connectTimeout = Call.m_connectTimeout;
+  Options.m_unresponsiveTimeout = internal::UnresponsiveTimeout;
+  m_connection =
+      std::make_unique<HttpClientConnection>(Loop, Call.m_address, Options);
+  m_connection->call(internal::bytesOf(Call), Call.m_method == "HEAD", *this);
 }
 
-TargetConnection::~TargetConnection() {
-  close();
-  // `stop` has no effect while the client is still connecting, so it is
-  // repeated until the thread ends.
+void TargetConnection::Reader::end() { m_connection.reset(); }
+
+void TargetConnection::Reader::resume() {
   absl::MutexLock Lock(&m_lock);
-  while (!m_lock.AwaitWithTimeout(absl::Condition(&m_finished),
-                                  internal::StopRetryInterval)) {
-    m_lock.Unlock();
-    m_client.stop();
-    m_lock.Lock();
-  }
-  m_thread.join();
+  if (m_connection && !isFull())
+    m_connection->setReading(true);
 }
 
-void TargetConnection::close() {
-  {
-    absl::MutexLock Lock(&m_lock);
-    m_closed = true;
+bool TargetConnection::Reader::onResponseHead(const HttpResponseHead &Head) {
+  m_endsWithConnection = Head.m_endsWithConnection;
+  ConnectionEvent Event;
+  Event.m_head = internal::headOf(Head);
+  Event.m_contentType = Head.m_fields.find("Content-Type").value_or("");
+  push(std::move(Event));
+  return true;
+}
+
+void TargetConnection::Reader::onResponseBody(std::string_view Bytes) {
+  ConnectionEvent Event;
+  Event.m_bytes = Bytes;
+  push(std::move(Event));
+}
+
+ConnectionEnd TargetConnection::Reader::endOf(ClientCallStatus End) const {
+  switch (End) {
+  case ClientCallStatus::Complete:
+    // A target that crashes may end its connection in order.
+    return m_endsWithConnection ? ConnectionEnd::Broken
+                                : ConnectionEnd::MessageComplete;
+  case ClientCallStatus::ConnectFailed:
+  case ClientCallStatus::ConnectRefused:
+    return ConnectionEnd::ConnectFailed;
+  case ClientCallStatus::Malformed:
+    return ConnectionEnd::Malformed;
+  case ClientCallStatus::Broken:
+    break;
   }
-  m_client.stop();
+  return ConnectionEnd::Broken;
 }
 
-bool TargetConnection::hasCapacity() const {
-  return m_closed || m_queuedBytes < internal::MaxQueuedBytes;
+void TargetConnection::Reader::onCallEnd(ClientCallStatus End) {
+  ConnectionEvent Event;
+  Event.m_end = endOf(End);
+  push(std::move(Event));
 }
 
-bool TargetConnection::push(ConnectionEvent Event) {
+void TargetConnection::Reader::push(ConnectionEvent Event) {
   absl::MutexLock Lock(&m_lock);
-  m_lock.Await(absl::Condition(this, &TargetConnection::hasCapacity));
-  if (m_closed)
-    return false;
   m_queuedBytes += Event.m_bytes.size();
   m_events.push_back(std::move(Event));
-  return true;
+  if (isFull())
+    m_connection->setReading(false);
 }
 
-std::optional<ConnectionEvent> TargetConnection::next(absl::Duration Timeout) {
+std::optional<ConnectionEvent>
+TargetConnection::Reader::next(absl::Duration Timeout, bool &MadeRoom) {
   absl::MutexLock Lock(&m_lock);
-  if (!m_lock.AwaitWithTimeout(
-          absl::Condition(this, &TargetConnection::hasEvent), Timeout))
+  if (!m_lock.AwaitWithTimeout(absl::Condition(this, &Reader::hasEvent),
+                               Timeout))
     return std::nullopt;
+  bool WasFull = isFull();
   ConnectionEvent Event = std::move(m_events.front());
   m_events.pop_front();
   m_queuedBytes -= Event.m_bytes.size();
+  MadeRoom = WasFull && !isFull();
   return Event;
 }
 
-void TargetConnection::run() {
-  httplib::Request Request;
-  Request.method = m_call.m_method;
-  Request.path = m_call.m_path;
-  Request.headers = m_call.m_headers;
-  Request.body = m_call.m_body;
-  Request.set_header("Accept-Encoding", "identity");
-  bool Framed = false;
-  Request.response_handler = [&](const httplib::Response &Response) {
-    Framed = internal::isFramed(Response);
-    ConnectionEvent Event;
-    Event.m_head = internal::headOf(Response);
-    Event.m_contentType = Response.get_header_value("Content-Type");
-    return push(std::move(Event));
-  };
-  Request.content_receiver = [&](const char *Bytes, std::size_t Count,
-                                 std::uint64_t, std::uint64_t) {
-    ConnectionEvent Event;
-    Event.m_bytes.assign(Bytes, Count);
-    return push(std::move(Event));
-  };
-  httplib::Result Result = m_client.send(Request);
-  ConnectionEvent End;
-  if (Result)
-    End.m_end = Framed ? ConnectionEnd::MessageComplete : ConnectionEnd::Broken;
-  else
-    End.m_end = internal::neverConnected(Result.error())
-                    ? ConnectionEnd::ConnectFailed
-                    : ConnectionEnd::Broken;
-  push(std::move(End));
-  absl::MutexLock Lock(&m_lock);
-  m_finished = true;
+TargetConnection::TargetConnection(TargetLoop &Loop, const TargetCall &Call)
+    : m_loop(Loop), m_reader(std::make_shared<Reader>()) {
+  m_loop.loop().post(
+      [Reader = m_reader, &Loop, Call] { Reader->begin(Loop.loop(), Call); });
+}
+
+TargetConnection::~TargetConnection() { close(); }
+
+void TargetConnection::close() {
+  m_loop.loop().post([Reader = m_reader] { Reader->end(); });
+}
+
+std::optional<ConnectionEvent> TargetConnection::next(absl::Duration Timeout) {
+  bool MadeRoom = false;
+  std::optional<ConnectionEvent> Event = m_reader->next(Timeout, MadeRoom);
+  if (MadeRoom)
+    m_loop.loop().post([Reader = m_reader] { Reader->resume(); });
+  return Event;
 }
 
 } // namespace turmericdyke
--- a/packages/edge/turmericdyke/src/Edge/TargetConnection.h
+++ b/packages/edge/turmericdyke/src/Edge/TargetConnection.h
@@ -1,30 +1,27 @@
 #pragma once
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 
-#include <httplib.h>
-
-#include "absl/synchronization/mutex.h"
 #include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Http/HttpFields.h"
 #include "turmericdyke/src/Requests/AttemptTypes.h"
 
 namespace turmericdyke {
 
+class TargetLoop;
+
 /// One HTTP request to a target.
 struct TargetCall {
   /// IP:port.
   std::string m_address;
   std::string m_method;
   std::string m_path;
-  httplib::Headers m_headers;
+  /// Without the fields that every call has, and those for framing.
+  HttpFields m_fields;
   std::string m_body;
   absl::Duration m_connectTimeout = absl::Seconds(1);
-  /// Read timeout of the socket; the limits of an attempt are shorter.
-  absl::Duration m_readTimeout = absl::Seconds(60);
 };
 
 /// An event on the connection of an attempt: the head of the answer with its
@@ -36,13 +33,13 @@
   std::optional<ConnectionEnd> m_end;
 };
 
-/// A request to a target on its own connection. A separate thread reads the
-/// answer, so that the caller's thread can check timeouts and the caller's
-/// connection while the target sends nothing.
+/// A request to a target on its own connection. The answer is read on the
+/// thread of `TargetLoop`, so that the caller's thread can check timeouts and
+/// the caller's connection while the target sends nothing.
 class TargetConnection {
 public:
-  explicit TargetConnection(TargetCall Call);
-  /// Closes the connection and waits for the thread.
+  TargetConnection(TargetLoop &Loop, const TargetCall &Call);
+  /// Closes the connection.
   ~TargetConnection();
   TargetConnection(const TargetConnection &) = delete;
   TargetConnection &operator=(const TargetConnection &) = delete;
@@ -53,21 +50,10 @@
   void close();
 
 private:
-  void run();
-  bool push(ConnectionEvent Event);
-  bool hasEvent() const ABSL_SHARED_LOCKS_REQUIRED(m_lock) {
-    return !m_events.empty();
-  }
-  bool hasCapacity() const ABSL_SHARED_LOCKS_REQUIRED(m_lock);
+  class Reader;
 
-  TargetCall m_call;
-  httplib::Client m_client;
-  absl::Mutex m_lock;
-  std::deque<ConnectionEvent> m_events ABSL_GUARDED_BY(m_lock);
-  std::size_t m_queuedBytes ABSL_GUARDED_BY(m_lock) = 0;
-  bool m_closed ABSL_GUARDED_BY(m_lock) = false;
-  bool m_finished ABSL_GUARDED_BY(m_lock) = false;
-  std::thread m_thread;
+  TargetLoop &m_loop;
+  std::shared_ptr<Reader> m_reader;
 };
 
 } // namespace turmericdyke
--- a/packages/requests/test/AttemptMachineTest.cpp
+++ b/packages/requests/test/AttemptMachineTest.cpp
@@ -50,6 +50,20 @@
   }
 }
 
+TEST_CASE("bytes that are no answer end an attempt that may have run") {
+  for (bool HeadSeen : {false, true}) {
+    AttemptMachine Machine = sentAttempt(ResponseFormat::Plain);
+    if (HeadSeen)
+      Machine.onHead(Start, okHead());
+    AttemptActions Actions =
+        Machine.onConnectionEnd(Start, ConnectionEnd::Malformed);
+    REQUIRE(Actions.m_result.has_value());
+    CHECK(Actions.m_result->m_end == AttemptEnd::Malformed);
+    CHECK(Actions.m_result->outcome() == Outcome::MayHaveRun);
+    CHECK(Actions.m_closeConnection);
+  }
+}
+
 TEST_CASE("a failed connect proves that the request did not run") {
   AttemptMachine Machine = sentAttempt(ResponseFormat::Plain);
   AttemptActions Actions =
--- a/packages/requests/turmericdyke/src/Requests/AttemptMachine.cpp
+++ b/packages/requests/turmericdyke/src/Requests/AttemptMachine.cpp
@@ -103,6 +103,8 @@
     m_mayHaveBeenSent = false;
     return end(AttemptEnd::ConnectFailed, false);
   }
+  if (End == ConnectionEnd::Malformed)
+    return end(AttemptEnd::Malformed, true);
   if (End == ConnectionEnd::Broken || !m_headSeen)
     return end(AttemptEnd::EndedEarly, false);
   return end(endOfMessage(), false);
--- a/packages/requests/turmericdyke/src/Requests/AttemptTypes.h
+++ b/packages/requests/turmericdyke/src/Requests/AttemptTypes.h
@@ -65,7 +65,9 @@
   MessageComplete,
   ConnectFailed,
   /// The connection broke or was closed within a message.
-  Broken
+  Broken,
+  /// The received bytes are no HTTP message.
+  Malformed
 };
 
 /// Limits of one attempt. It ends when no byte arrives within a timeout, when
--- a/tests/support/ScriptedServer.h
+++ b/tests/support/ScriptedServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cerrno>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -82,7 +83,7 @@
   void answer(int File) {
     ++m_requests;
     absl::SleepFor(m_delay);
-    (void)!send(File, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
+    sendAll(File);
     if (m_end == Ending::InOrder || m_end == Ending::InOrderThenReset)
       shutdown(File, SHUT_WR);
     if (m_end == Ending::InOrder || m_end == Ending::Held)
@@ -96,6 +97,19 @@
     setsockopt(File, SOL_SOCKET, SO_LINGER, &Now, sizeof Now);
   }
 
+  void sendAll(int File) const {
+    std::string_view Rest = m_answer;
+    while (!m_stop && !Rest.empty()) {
+      ssize_t Count = send(File, Rest.data(), Rest.size(), MSG_NOSIGNAL);
+      if (Count < 0 && errno != EAGAIN)
+        return;
+      if (Count < 0)
+        pause();
+      else
+        Rest.remove_prefix(static_cast<std::size_t>(Count));
+    }
+  }
+
   /// Reads until the client closes.
   void drain(int File) const {
     char Buffer[16384];
