Do not take a broken answer of a node for the outcome of a change

Operators saw: a node in trouble answered a change with the status 000 or 999, or with a field name that holds a blank or a control byte, and turmericctl reported the change as refused, or as not made although it may have been made.

Cause: cpp-httplib accepts any number as a status and any bytes as a name, and OperatorClient took every status below 500 for a final answer.

Change: an answer whose status is not one from 200 to 599, or which has a field whose name is no token, counts as lost, so the change is sent again under its identifier or reported as uncertain.

Left as it is: cpp-httplib shows a head only when it is complete, so an unfinished one is awaited for the timeout of the command, and it drops a line without a value, whose name then is not seen.

--- a/packages/base/test/BaseTest.cpp
+++ b/packages/base/test/BaseTest.cpp
@@ -94,3 +94,16 @@
   CHECK_FALSE(isServerAddress(std::string("10.0.0.1") + '\0' + ":80"));
   CHECK(parseSocketAddress("127.0.0.1:0").has_value());
 }
+
+// Guards against bytes of a server in trouble that pass for an answer.
+TEST_CASE("a final response has a status from 200 to 599 and tokens as names") {
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+  const Fields Sound = {{"Content-Type", "a"}, {"!#$%&'*+-.^_`|~09azAZ", ""}};
+  for (int Status : {200, 404, 599})
+    CHECK(isFinalResponse(Status, Sound));
+  for (int Status : {-1, 0, 99, 100, 103, 199, 600, 999})
+    CHECK_FALSE(isFinalResponse(Status, Sound));
+  for (const char *Name : {"", " ", "a b", "a ", "\ta", "a\x01", "a\x7f",
+                           "a:", "a\"", "a(", "a\xc3\xa4"})
+    CHECK_FALSE(isFinalResponse(200, Fields{{"Date", "x"}, {Name, "x"}}));
+}
--- a/packages/base/turmericdyke/src/Base/HttpSyntax.h
+++ b/packages/base/turmericdyke/src/Base/HttpSyntax.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <string_view>
 
 namespace turmericdyke {
@@ -12,4 +13,16 @@
 /// 5.6.2).
 bool isFieldName(std::string_view Text);
 
+/// Whether a final response may have this status and these header fields, pairs
+/// of name and value. For heads that were read by a library which accepts any
+/// number and any bytes, as cpp-httplib does.
+template <class Fields>
+bool isFinalResponse(int Status, const Fields &HeaderFields) {
+  constexpr int FirstFinalStatus = 200;
+  return Status >= FirstFinalStatus && isStatusCode(Status) &&
+         std::all_of(
+             HeaderFields.begin(), HeaderFields.end(),
+             [](const auto &Field) { return isFieldName(Field.first); });
+}
+
 } // namespace turmericdyke
--- a/packages/ctl/turmericdyke/src/Ctl/OperatorClient.cpp
+++ b/packages/ctl/turmericdyke/src/Ctl/OperatorClient.cpp
@@ -9,6 +9,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/time/clock.h"
+#include "turmericdyke/src/Base/HttpSyntax.h"
 
 namespace turmericdyke {
 
@@ -116,6 +117,10 @@
           fmt::format("{}: {}", Node, httplib::to_string(Got.error()));
       return Answer;
     }
+    if (!isFinalResponse(Got->status, Got->headers)) {
+      Answer.m_detail = fmt::format("{}: not an HTTP response", Node);
+      return Answer;
+    }
     Answer.m_status = Got->status;
     Answer.m_body = nlohmann::json::parse(Got->body, nullptr, false);
   } catch (const std::exception &Error) {
