Do not take broken answers for acknowledgements in the stand-in and load tools

Seen by testers: a stand-in target went on announcing itself to a node whose answers have a field name that holds a blank or a control byte, and the load tool counted such answers as whole.

Change: both apply isFinalResponse. A stand-in goes on to its next node.

--- a/packages/standin/app/Load.cpp
+++ b/packages/standin/app/Load.cpp
@@ -70,6 +70,7 @@
   httplib::Result Answer = Client.send(Request);
   Instant End = monotonicNow();
   bool Whole = Answer && Answer->status == 200 &&
+               isFinalResponse(Answer->status, Answer->headers) &&
                Body.find("data: [DONE]\n\n") != std::string::npos;
   absl::MutexLock Lock(&Seen.m_lock);
   if (!Whole) {
--- a/packages/standin/turmericdyke/src/StandIn/StandInTarget.cpp
+++ b/packages/standin/turmericdyke/src/StandIn/StandInTarget.cpp
@@ -10,6 +10,7 @@
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
+#include "turmericdyke/src/Base/HttpSyntax.h"
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Base/ListenBacklog.h"
 #include "turmericdyke/src/Base/LogLine.h"
@@ -243,7 +244,8 @@
       {"Authorization", "Bearer " + m_options.m_targetKey}};
   httplib::Result Answer =
       Client.Post("/v1/targets/announce", Headers, Body, "application/json");
-  if (Answer && Answer->status == 200)
+  if (Answer && isFinalResponse(Answer->status, Answer->headers) &&
+      Answer->status == 200)
     return true;
   ++m_nextNode;
   return false;
