End a connection to a peer at once whose answer is invalid

Seen between processes: a peer in trouble answered the handshake with a field name that holds a blank or a control byte. Its answer was not taken for one, but the connection was kept until the handshake timed out after 2 s, with the messages for that peer behind it.

Cause: nghttp2 resets the stream of such a response and reports its end while the reset is written. OutgoingPeer looked for a failure before it wrote.

Change: it looks after it has written, too.

Already so before, and tested now: the statuses 000 and 999, a response that a reset cuts off and bytes that are not HTTP/2 authenticate no peer and acknowledge no message.

Evidence, on the code before: peer_test "a broken answer of a peer neither authenticates it nor acknowledges a message" saw no failure within 2 s for the two names. It passes now.

--- a/packages/peer/test/PeerTransportTest.cpp
+++ b/packages/peer/test/PeerTransportTest.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 
 #include "RelaySocket.h"
+#include "ScriptedServer.h"
 #include "absl/time/clock.h"
 #include "turmericdyke/Base"
 #include "turmericdyke/Peer"
@@ -80,6 +81,20 @@
   internal::Descriptor m_socket;
 };
 
+/// A frame of HTTP/2 on stream `Stream`.
+std::string frame(char Type, char Flags, char Stream,
+                  const std::string &Payload) {
+  std::string Bytes = {
+      0, 0, static_cast<char>(Payload.size()), Type, Flags, 0, 0, 0, Stream};
+  return Bytes + Payload;
+}
+
+/// A header field whose name and value are literals.
+std::string literal(const std::string &Name, const std::string &Value) {
+  return std::string(1, 0) + static_cast<char>(Name.size()) + Name +
+         static_cast<char>(Value.size()) + Value;
+}
+
 struct QuietLog {
   QuietLog() { setLogLevel(LogLevel::Error); }
 };
@@ -325,3 +340,43 @@
               .has_value());
   CHECK(eventually([&] { return B.received() == 2; }));
 }
+
+// Guards against bytes of a process in trouble that pass for an acknowledgement
+// or for the answer of another node.
+TEST_CASE("a broken answer of a peer neither authenticates it nor acknowledges "
+          "a message") {
+  constexpr char Data = 0, Headers = 1, Settings = 4;
+  constexpr char EndStream = 1, EndHeaders = 4;
+  const std::string Begin = frame(Settings, 0, 0, "");
+  auto Head = [&](const std::string &Fields, char Flags) {
+    return Begin +
+           frame(Headers, static_cast<char>(EndHeaders | Flags), 1, Fields);
+  };
+  const std::string Ok = literal(":status", "200");
+  struct Case {
+    std::string m_name;
+    std::string m_answer;
+    Ending m_end = Ending::Held;
+  };
+  for (const Case &Each :
+       {Case{"status 000", Head(literal(":status", "000"), EndStream)},
+        Case{"status 999", Head(literal(":status", "999"), EndStream)},
+        Case{"blank in a name", Head(Ok + literal("bad name", "1"), EndStream)},
+        Case{"control byte in a name",
+             Head(Ok + literal("bad\x01name", "1"), EndStream)},
+        Case{"reset within a body", Head(Ok, 0) + frame(Data, 0, 1, "half"),
+             Ending::Reset},
+        Case{"HTTP/1.1",
+             "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n"}}) {
+    CAPTURE(Each.m_name);
+    ScriptedServer Peer(Each.m_answer, Each.m_end);
+    Endpoint A("a");
+    REQUIRE(A.m_transport->sendTo(Peer.address(), PeerMessageKind::Raft, "x")
+                .has_value());
+    CHECK(
+        eventually([&] { return A.count(PeerCounter::ConnectionFailures) > 0; },
+                   absl::Seconds(2)));
+    CHECK(A.count(PeerCounter::Connections) == 0);
+    CHECK(A.count(PeerCounter::Delivered) == 0);
+  }
+}
--- a/packages/peer/turmericdyke/src/Peer/OutgoingPeer.cpp
+++ b/packages/peer/turmericdyke/src/Peer/OutgoingPeer.cpp
@@ -169,7 +169,9 @@
 void OutgoingPeer::flush(Instant Now) {
   if (!m_connection)
     return;
-  if (m_failed || !m_connection->write() || m_connection->isFinished())
+  bool Written = !m_failed && m_connection->write();
+  // The stream of an invalid response fails while its reset is written.
+  if (m_failed || !Written || m_connection->isFinished())
     close(Now, false);
 }
 
