End a response that switches protocols

No request of this system asks for another protocol (Upgrade is not passed on), so no response can follow (RFC 9110, section 15.2.2), and the bytes that may follow are not HTTP.

Change: HttpReader ends such a response as malformed, as it does with a status that is none.

Evidence, on the code before: http_test "a response whose status is no HTTP status ends the call" waited 8 s, the limit of the test.

--- a/packages/http/test/BrokenResponseTest.cpp
+++ b/packages/http/test/BrokenResponseTest.cpp
@@ -148,7 +148,10 @@
         // The head need not be complete.
         std::string("HTTP/1.1 000 Trouble\r\n"),
         std::string("HTTP/1.1 000 Tro"),
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble" + Whole}) {
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble" + Whole,
+        // The client has not asked for another protocol.
+        std::string("HTTP/1.1 101 Switching Protocols\r\nConnection: "
+                    "upgrade\r\nUpgrade: x\r\n\r\n")}) {
     CAPTURE(Answer);
     ScriptedServer Server(Answer, Ending::Held);
     EndedCall Ended = call(Server);
--- a/packages/http/turmericdyke/src/Http/HttpReader.cpp
+++ b/packages/http/turmericdyke/src/Http/HttpReader.cpp
@@ -34,7 +34,10 @@
     return 0;
   }
   static int onStatus(http_parser *State, const char *, std::size_t) {
-    return isStatusCode(static_cast<int>(State->status_code)) ? 0 : 1;
+    // No request of this system asks for another protocol.
+    constexpr int SwitchingProtocols = 101;
+    int Status = static_cast<int>(State->status_code);
+    return isStatusCode(Status) && Status != SwitchingProtocols ? 0 : 1;
   }
   static int onName(http_parser *State, const char *At, std::size_t Size) {
     HttpReader &Reader = self(State);
