--- a/packages/edge/test/BrokenAnswerTest.cpp
+++ b/packages/edge/test/BrokenAnswerTest.cpp
@@ -26,13 +26,12 @@
 };
 
 /// Runs an attempt of a plain service call.
-EndedAttempt attempt(const ScriptedServer &Target,
-                     std::size_t UploadBytes = 0) {
+EndedAttempt attempt(const ScriptedServer &Target, std::size_t BodyBytes = 0) {
   TargetCall Call;
   Call.m_address = Target.address();
   Call.m_method = "POST";
   Call.m_path = "/bookings";
-  Call.m_body = std::string(UploadBytes, 'u');
+  Call.m_body = std::string(BodyBytes, 'u');
   Instant Started = monotonicNow();
   AttemptLimits Limits;
   Limits.m_deadline = Started + absl::Seconds(10);
@@ -89,11 +88,11 @@
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
         "Link: </a>\r\n\r\n" +
             Ok + Length})
-    for (std::size_t Bytes : {std::size_t{0}, UploadBytes}) {
+    for (std::size_t BodyBytes : {std::size_t{0}, UploadBytes}) {
       CAPTURE(Answer);
-      CAPTURE(Bytes);
+      CAPTURE(BodyBytes);
       ScriptedServer Target(Answer, Ending::Held);
-      EndedAttempt Ended = attempt(Target, Bytes);
+      EndedAttempt Ended = attempt(Target, BodyBytes);
       CHECK(Ended.m_result.m_end == AttemptEnd::Complete);
       CHECK(Ended.m_result.m_status == 200);
       CHECK(Ended.m_body == "whole");
--- a/packages/edge/turmericdyke/src/Edge/TargetConnection.cpp
+++ b/packages/edge/turmericdyke/src/Edge/TargetConnection.cpp
@@ -43,7 +43,7 @@
 /// thread.
 class TargetConnection::Reader : public ClientCallEvents {
 public:
-  /// The following are called on the loop's thread.
+  // Called on the loop's thread.
   void begin(EventLoop &Loop, const TargetCall &Call);
   void end();
   /// Goes on reading if the queue has room again.
@@ -52,8 +52,8 @@
   void onResponseBody(std::string_view Bytes) override;
   void onCallEnd(ClientCallStatus End) override;
 
-  /// Called on the caller's thread. `MadeRoom` returns whether the queue was
-  /// full before.
+  /// Called on the caller's thread. Sets `MadeRoom` if the queue was full and
+  /// no longer is.
   std::optional<ConnectionEvent> next(absl::Duration Timeout, bool &MadeRoom);
 
 private:
