--- a/packages/ctl/test/OperatorClientTest.cpp
+++ b/packages/ctl/test/OperatorClientTest.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -65,10 +66,11 @@
 TEST_CASE("a sound answer of a node is read whole") {
   const std::string Accepted = "{\"result\":\"accepted\"}";
   const std::string Ok = "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0aZ: 1\r\n";
-  for (const std::string &Answer :
-       {Ok + "Content-Length: 21\r\n\r\n" + Accepted, Ok + "\r\n" + Accepted,
-        Ok + "Transfer-Encoding: chunked\r\n\r\n15\r\n" + Accepted +
-            "\r\n0\r\n\r\n"}) {
+  const std::vector<std::string> Answers = {
+      Ok + "Content-Length: 21\r\n\r\n" + Accepted, Ok + "\r\n" + Accepted,
+      Ok + "Transfer-Encoding: chunked\r\n\r\n15\r\n" + Accepted +
+          "\r\n0\r\n\r\n"};
+  for (const std::string &Answer : Answers) {
     CAPTURE(Answer);
     ScriptedServer Node(Answer, Ending::InOrder);
     CtlOptions Options = optionsFor(Node);
--- a/packages/edge/test/BrokenAnswerTest.cpp
+++ b/packages/edge/test/BrokenAnswerTest.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -83,11 +84,12 @@
   const std::string Length = "Content-Length: 5\r\n\r\nwhole";
   const std::string Chunks =
       "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
-  for (const std::string &Answer :
-       {Ok + Length, Ok + Chunks + "\r\n", Ok + Chunks + "Trailer: 1\r\n\r\n",
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
-        "Link: </a>\r\n\r\n" +
-            Ok + Length})
+  const std::vector<std::string> Answers = {
+      Ok + Length, Ok + Chunks + "\r\n", Ok + Chunks + "Trailer: 1\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+      "Link: </a>\r\n\r\n" +
+          Ok + Length};
+  for (const std::string &Answer : Answers)
     for (std::size_t BodyBytes : {std::size_t{0}, UploadBytes}) {
       CAPTURE(Answer);
       CAPTURE(BodyBytes);
--- a/packages/http/test/BrokenResponseTest.cpp
+++ b/packages/http/test/BrokenResponseTest.cpp
@@ -1,6 +1,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -173,14 +174,15 @@
       "Name{"};
   for (char Control = 0; Control < ' '; ++Control)
     Names.push_back(std::string("Control") + Control + "Name");
+  auto AnswersWith = [&](const std::string &Name) {
+    return std::vector<std::string>{
+        Begin + Name + ": 1\r\n" + End, Begin + Name + ":\r\n" + End,
+        Begin + "Sound: 1\r\n" + Name + ": 1\r\n" + End,
+        // The head need not be complete.
+        Begin + Name + ": 1"};
+  };
   for (const std::string &Name : Names)
-    for (const std::string &Answer : {
-             Begin + Name + ": 1\r\n" + End,
-             Begin + Name + ":\r\n" + End,
-             Begin + "Sound: 1\r\n" + Name + ": 1\r\n" + End,
-             // The head need not be complete.
-             Begin + Name + ": 1",
-         }) {
+    for (const std::string &Answer : AnswersWith(Name)) {
       CAPTURE(Answer);
       ScriptedServer Server(Answer, Ending::Held);
       EndedCall Ended = call(Server);
@@ -220,12 +222,13 @@
       "HTTP/1.1 100 Continue\r\n\r\n"
       "HTTP/1.1 102 Processing\r\n" +
       Token + ": 1\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
-  for (const std::string &Answer :
-       {Interim + Head + "Content-Length: 5\r\n\r\nwhole",
-        Interim + Head +
-            "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nwhole\r\n"
-            "0\r\n" +
-            Token + ": 1\r\nLast: 2\r\n\r\n"}) {
+  const std::vector<std::string> Answers = {
+      Interim + Head + "Content-Length: 5\r\n\r\nwhole",
+      Interim + Head +
+          "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nwhole\r\n"
+          "0\r\n" +
+          Token + ": 1\r\nLast: 2\r\n\r\n"};
+  for (const std::string &Answer : Answers) {
     ScriptedServer Server(Answer, Ending::Held);
     EndedCall Ended = call(Server);
     CHECK(Ended.m_end == ClientCallStatus::Complete);
--- a/packages/http/test/HttpReaderTest.cpp
+++ b/packages/http/test/HttpReaderTest.cpp
@@ -150,11 +150,14 @@
                ? Status
                : readAll(Reader, Bytes.substr(At));
   };
-  for (const std::string &Bytes :
-       {"HTTP/1.1 000 X\r\n" + End, Ok + "Bad Name: 1\r\n" + End,
-        Ok + "Trailing : 1\r\n" + End, Ok + " Leading: 1\r\n" + End,
-        Ok + "Sound: 1\r\n Leading: 1\r\n" + End,
-        Ok + "Empty:\r\n\tLeading: 1\r\n" + End})
+  const std::vector<std::string> Broken = {
+      "HTTP/1.1 000 X\r\n" + End,
+      Ok + "Bad Name: 1\r\n" + End,
+      Ok + "Trailing : 1\r\n" + End,
+      Ok + " Leading: 1\r\n" + End,
+      Ok + "Sound: 1\r\n Leading: 1\r\n" + End,
+      Ok + "Empty:\r\n\tLeading: 1\r\n" + End};
+  for (const std::string &Bytes : Broken)
     for (std::size_t At = 1; At < Bytes.size(); ++At) {
       CAPTURE(Bytes);
       CAPTURE(At);
