Record a server's drain in the log before it is acknowledged

Cause: the leader kept the drain in its memory, handed copies for the other coordinators to the transport and answered. A copy may not leave a process that is killed, and no copy survives the end of all coordinators. A second way: a new leader that knows no servers yet leaves entry nodes the targets of the earlier term until it has heard from all servers.

The first draining announcement of a life is now answered once its record is in the replicated log, which an elected leader has applied; later ones add nothing. A drain is final for the life, so an earlier announcement that arrives late changes nothing. A leader that does not know all servers yet names entry nodes those that have left.

Ruled out as other ways in, by reading: announcements that followers take (they redirect those that drain), confirmations of an unchanged state, probes, entry nodes. Records of withdrawals and drains are one mechanism now, hence the renamed files.

--- a/packages/control/turmericdyke/src/Control/ControlState.h
+++ b/packages/control/turmericdyke/src/Control/ControlState.h
@@ -132,6 +132,12 @@
   suspectsOf(const CustomerId &Customer) const {
     return m_suspects.of(Customer);
   }
+  /// The requests of one customer that were marked at `From` of log time or
+  /// later.
+  std::vector<RequestIdentity> suspectsMarkedSince(const CustomerId &Customer,
+                                                   absl::Time From) const {
+    return m_suspects.markedSince(Customer, From);
+  }
   /// The first marked request that is not ordered before `From`.
   std::optional<RequestIdentity>
   firstSuspectFrom(const RequestIdentity &From) const {
--- a/packages/control/turmericdyke/src/Control/SuspectTable.cpp
+++ b/packages/control/turmericdyke/src/Control/SuspectTable.cpp
@@ -90,6 +90,17 @@
   return Marked;
 }
 
+std::vector<RequestIdentity>
+SuspectTable::markedSince(const CustomerId &Customer, absl::Time From) const {
+  std::vector<RequestIdentity> Marked;
+  for (auto At = m_byExpiry.lower_bound(
+           {From + MarkRetention, RequestIdentity{CustomerId(), ""}});
+       At != m_byExpiry.end(); ++At)
+    if (At->second.m_customer == Customer)
+      Marked.push_back(At->second);
+  return Marked;
+}
+
 std::optional<RequestIdentity>
 SuspectTable::firstFrom(const RequestIdentity &From) const {
   auto Found = m_marks.lower_bound(From);
--- a/packages/control/turmericdyke/src/Control/SuspectTable.h
+++ b/packages/control/turmericdyke/src/Control/SuspectTable.h
@@ -42,6 +42,10 @@
   std::map<RequestIdentity, SuspectState> all() const;
   /// The marked requests of one customer.
   std::map<RequestIdentity, SuspectState> of(const CustomerId &Customer) const;
+  /// The requests of one customer that were marked at `From` of log time or
+  /// later.
+  std::vector<RequestIdentity> markedSince(const CustomerId &Customer,
+                                           absl::Time From) const;
   /// The first marked request that is not ordered before `From`.
   std::optional<RequestIdentity> firstFrom(const RequestIdentity &From) const;
   const std::optional<BeginSuspectRun> &run() const { return m_run; }
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -6,8 +6,8 @@
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Base/LogSink.h"
+#include "turmericdyke/src/Coordinator/DepartureRecords.h"
 #include "turmericdyke/src/Coordinator/ProductCalls.h"
-#include "turmericdyke/src/Coordinator/WithdrawalRecords.h"
 #include "turmericdyke/src/Feed/FeedAssignment.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
 
@@ -117,13 +117,22 @@
         announcementResponse(Announcement, m_directoryCopy.size()));
   }
   accept(Announcement);
-  Exchange->respond(announcementResponse(Announcement, m_servers.all().size()));
+  HttpResponse Response =
+      announcementResponse(Announcement, m_servers.all().size());
+  if (!Announcement.m_draining)
+    return Exchange->respond(Response);
+  awaitRecord(Departure::Draining,
+              {Announcement.m_id, Announcement.m_startMillis}, Exchange,
+              std::move(Response));
 }
 
-void CoordinatorNode::accept(const ServerAnnouncement &Announcement) {
-  if (isWithdrawn(m_core->state(),
-                  {Announcement.m_id, Announcement.m_startMillis}))
+void CoordinatorNode::accept(ServerAnnouncement Announcement) {
+  ServerIncarnation Life{Announcement.m_id, Announcement.m_startMillis};
+  if (isWithdrawn(m_core->state(), Life))
     return m_metrics.increment("turmericdyke_withdrawn_announcements_total");
+  // Earlier announcements may arrive after the one that drains.
+  Announcement.m_draining =
+      Announcement.m_draining || isDraining(m_core->state(), Life);
   AnnouncementResult Outcome = m_servers.announce(monotonicNow(), Announcement);
   if (Outcome != AnnouncementResult::Changed)
     return;
@@ -141,7 +150,6 @@
                           : "none")
       .field("model", Announcement.m_model)
       .field("staged", absl::StrJoin(Announcement.m_stagedModels, ","));
-  // A successor must know of an acknowledged drain.
   if (Announcement.m_draining)
     pushDirectory();
   schedulePlan();
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -7,8 +7,8 @@
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Coordinator/ClusterMembers.h"
+#include "turmericdyke/src/Coordinator/DepartureRecords.h"
 #include "turmericdyke/src/Coordinator/SuspectRecords.h"
-#include "turmericdyke/src/Coordinator/WithdrawalRecords.h"
 #include "turmericdyke/src/Node/CoreCodec.h"
 #include "turmericdyke/src/Peer/PeerTransport.h"
 
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -266,7 +266,7 @@
     Exchange->respond(m_protocol.errorResponse(503, Reason));
   m_pendingPuts.clear();
   refusePendingEvacuations(Reason);
-  refuseWithdrawals(Reason);
+  refuseDepartures(Reason);
 }
 
 void CoordinatorNode::reopenStorage() {
@@ -310,7 +310,7 @@
       continue;
     }
     onEvacuationDone(Done);
-    onWithdrawalsDone(Done.m_ticket, Done.m_status == SubmitStatus::Committed);
+    onDeparturesDone(Done.m_ticket, Done.m_status == SubmitStatus::Committed);
     auto Found = m_pendingPuts.find(Done.m_ticket);
     if (Found == m_pendingPuts.end())
       continue;
@@ -357,7 +357,7 @@
 
 void CoordinatorNode::applyState() {
   updateSuspects();
-  applyWithdrawals();
+  applyDepartures();
   applyEvacuations();
   const SetRouting &Routing = m_core->state().routing();
   if (Routing.m_version <= m_catalog.m_version)
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -12,8 +12,8 @@
 #include "turmericdyke/src/Base/Result.h"
 #include "turmericdyke/src/Coordinator/CoordinatorProtocol.h"
 #include "turmericdyke/src/Coordinator/CoordinatorSettings.h"
+#include "turmericdyke/src/Coordinator/DepartureRecords.h"
 #include "turmericdyke/src/Coordinator/ServerCalls.h"
-#include "turmericdyke/src/Coordinator/WithdrawalRecords.h"
 #include "turmericdyke/src/Feed/AnnouncementRelay.h"
 #include "turmericdyke/src/Feed/CoordinatorRoster.h"
 #include "turmericdyke/src/Feed/CrashAttribution.h"
@@ -129,17 +129,24 @@
   void coolReturnedServers();
   std::vector<FailureDomainStatus> failureDomainStatus() const;
   void setEvacuationMetrics();
-  /// Records the withdrawals that have arrived in the replicated state; they
-  /// are acknowledged once they are committed.
-  void submitWithdrawals();
-  void onWithdrawalsDone(std::uint64_t Ticket, bool Committed);
-  void refuseWithdrawals(const std::string &Reason);
-  /// Takes over the withdrawals that the replicated state records.
-  void applyWithdrawals();
+  /// Responds once the departure of the server is in the replicated log.
+  void awaitRecord(Departure Kind, ServerIncarnation Server,
+                   const std::shared_ptr<ServerExchange> &Exchange,
+                   HttpResponse Response);
+  /// Records the departures that have arrived in the replicated state; they are
+  /// acknowledged once they are committed.
+  void submitDepartures();
+  void onDeparturesDone(std::uint64_t Ticket, bool Committed);
+  void refuseDepartures(const std::string &Reason);
+  /// Takes over the departures that the replicated state records.
+  void applyDepartures();
+  /// Servers that have left, as far as this node knows, and whose next life has
+  /// not announced itself.
+  std::vector<TargetId> departedServers() const;
   /// Redirects the caller to the leader, or responds with 503 if there is none.
   void redirect(ServerExchange &Exchange);
   /// Takes an announcement as leader, and plans if it is news.
-  void accept(const ServerAnnouncement &Announcement);
+  void accept(ServerAnnouncement Announcement);
   /// Whether this node takes the announcement on behalf of the leader.
   bool mayRelay(const ServerAnnouncement &Announcement) const;
   /// The response to an announcement. `Servers` is the number of known servers.
@@ -206,10 +213,13 @@
   void beginStop();
   void pollStop();
 
-  /// A server that waits for the acknowledgement of its withdrawal.
-  struct PendingWithdrawal {
+  /// A server that waits for the acknowledgement of its departure.
+  struct PendingDeparture {
+    Departure m_kind = Departure::Draining;
     ServerIncarnation m_server;
     std::shared_ptr<ServerExchange> m_exchange;
+    /// Sent once the departure is recorded.
+    HttpResponse m_response;
     Instant m_received;
   };
 
@@ -243,12 +253,11 @@
   std::vector<NodeId> m_loggedVoters;
   /// Put calls that wait for their command to be committed, by ticket.
   std::map<std::uint64_t, std::shared_ptr<ServerExchange>> m_pendingPuts;
-  /// Withdrawals for the next command, and those of submitted commands by
+  /// Departures for the next commands, and those of submitted commands by
   /// ticket.
-  std::vector<PendingWithdrawal> m_withdrawals;
-  std::map<std::uint64_t, std::vector<PendingWithdrawal>>
-      m_submittedWithdrawals;
-  EventLoop::Timer m_withdrawalTimer;
+  std::vector<PendingDeparture> m_departures;
+  std::map<std::uint64_t, std::vector<PendingDeparture>> m_submittedDepartures;
+  EventLoop::Timer m_departureTimer;
   /// Evacuation orders that wait to be committed, by ticket.
   std::map<std::uint64_t, PendingEvacuation> m_pendingEvacuations;
   /// The failure domains whose servers may not be used, by the replicated state
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -115,7 +115,7 @@
   if (!m_inherited)
     return m_servers.clear();
   m_servers.inherit(Now, m_directoryCopy.servers());
-  applyWithdrawals();
+  applyDepartures();
   for (const TargetId &Id : m_servers.unconfirmed(Now, internal::SettleTime))
     probe(Id);
 }
@@ -344,10 +344,14 @@
   std::vector<ServingTarget> Targets = servingTargets();
   updateColdTargets(Targets);
   // Entry nodes may hold targets of an earlier term until this leader knows all
-  // servers, but not those of evacuated failure domains.
-  bool Complete = m_settled && m_planner.leading();
-  m_feed.setTargets(Targets,
-                    Complete ? std::vector<TargetId>() : evacuatedServers());
+  // servers, but not those that have left or are in evacuated failure domains.
+  std::vector<TargetId> Closed;
+  if (!m_settled || !m_planner.leading()) {
+    Closed = evacuatedServers();
+    for (TargetId &Id : departedServers())
+      Closed.push_back(std::move(Id));
+  }
+  m_feed.setTargets(Targets, Closed);
   pushFeed();
 }
 
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.cpp
@@ -139,6 +139,14 @@
   }
 }
 
+void ServerDirectory::drain(const TargetId &Id) {
+  auto Found = m_servers.find(Id);
+  if (Found == m_servers.end() || Found->second.m_announcement.m_draining)
+    return;
+  Found->second.m_announcement.m_draining = true;
+  Found->second.m_changeSequence = ++m_sequence;
+}
+
 bool ServerDirectory::withdraw(Instant Now, const TargetId &Id) {
   auto Found = m_servers.find(Id);
   if (Found == m_servers.end())
--- a/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
+++ b/packages/groups/turmericdyke/src/Groups/ServerDirectory.h
@@ -112,6 +112,8 @@
   /// Another coordinator heard the server repeat the state that this directory
   /// holds. Returns whether it was news of the known incarnation.
   bool confirm(Instant Now, const ServerHeard &Heard);
+  /// The server is known to drain, although it has not announced this here.
+  void drain(const TargetId &Id);
   /// The server announces its end: it counts as draining, and is removed once
   /// it is silent. Late announcements of the same incarnation are stale from
   /// now on. Returns whether the server was known.
