Propose an evacuation order only in the term that took it

An operator evacuated a failure domain, ended that and started it again; all three were acknowledged, yet the domain was in use again for good.

Cause: commands without a result were sent again to whoever leads, for 5 s. An order to evacuate or to end that states nothing of the state it was given against, so it takes effect whenever it is applied. Within one term, too, a command was proposed once more after a second, behind newer ones.

Such orders are submitted with ControlCore::submitAsLeader now: proposed once, by the leader that took them, in that term. If the lead is lost first, the operator is told that the outcome is unknown at the next tick, not after 5 s. An entry that is left in a log is either before all that a later leader accepts, or never committed.

Ruled out: naming the state that an order was given against, as coordinators of earlier builds would come to another state.

--- a/packages/coordinator/test/SimCoordinators.cpp
+++ b/packages/coordinator/test/SimCoordinators.cpp
@@ -217,6 +217,35 @@
   return Version;
 }
 
+std::optional<SimCoordinators::Order>
+SimCoordinators::order(std::size_t At, const FailureDomainId &Domain,
+                       bool Evacuated) {
+  Member &Value = m_members[At];
+  if (!Value.m_up || Value.m_storageFailed || !Value.m_core ||
+      m_now < Value.m_busyUntil || !Value.m_core->leads(m_now))
+    return std::nullopt;
+  Order Taken{At, Value.m_incarnation, 0};
+  Taken.m_ticket =
+      Value.m_core->submitAsLeader(m_now, SetEvacuation{Domain, Evacuated});
+  Value.m_core->tick(m_now, m_now, m_random);
+  perform(Value);
+  return Taken;
+}
+
+std::optional<SubmitStatus> SimCoordinators::outcome(const Order &Value) const {
+  auto Found = m_outcomes.find(Value);
+  if (Found == m_outcomes.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+bool SimCoordinators::isEvacuated(std::size_t At,
+                                  const FailureDomainId &Domain) const {
+  const auto &All = m_members[At].m_core->state().evacuations();
+  auto Found = All.find(Domain);
+  return Found != All.end() && Found->second.m_inForce;
+}
+
 std::uint64_t SimCoordinators::applied(std::size_t At) const {
   const Member &Value = m_members[At];
   return Value.m_core ? Value.m_core->state().routing().m_version : 0;
@@ -261,10 +290,13 @@
       m_elections += Event.m_kind == RaftEventKind::LeadershipGained ? 1 : 0;
     for (const AddressedMessage &Message : Output.m_messages)
       sendCore(Value, Message);
-    for (const Completion &Done : Output.m_completions)
+    for (const Completion &Done : Output.m_completions) {
+      std::size_t At = static_cast<std::size_t>(&Value - m_members.data());
+      m_outcomes[{At, Value.m_incarnation, Done.m_ticket}] = Done.m_status;
       if (const auto *Set = std::get_if<SetRoutingResult>(&Done.m_result);
           Set != nullptr && Done.m_status == SubmitStatus::Committed)
         m_acknowledged = std::max(m_acknowledged, Set->m_version);
+    }
     if (Output.m_snapshot)
       writeSnapshot(Value, *Output.m_snapshot);
   } while (Value.m_core->hasActions());
--- a/packages/coordinator/test/SimCoordinators.h
+++ b/packages/coordinator/test/SimCoordinators.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -72,6 +73,24 @@
   /// would refuse it.
   std::optional<std::uint64_t> submit(std::size_t At);
   std::uint64_t acknowledged() const { return m_acknowledged; }
+  /// An order of an operator that a coordinator took.
+  struct Order {
+    std::size_t m_member = 0;
+    /// Of the core that took it.
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_ticket = 0;
+
+    auto operator<=>(const Order &) const = default;
+  };
+  /// Orders an evacuation, or its end, at one coordinator; nullopt if it would
+  /// redirect the operator or not answer.
+  std::optional<Order> order(std::size_t At, const FailureDomainId &Domain,
+                             bool Evacuated);
+  /// What the operator was told; nullopt if nothing yet, or if the coordinator
+  /// was killed before.
+  std::optional<SubmitStatus> outcome(const Order &Value) const;
+  /// Whether this coordinator's state has the failure domain evacuated.
+  bool isEvacuated(std::size_t At, const FailureDomainId &Domain) const;
   /// The version of the document that this coordinator has applied.
   std::uint64_t applied(std::size_t At) const;
   /// Submits a change and runs until it is acknowledged; false after `Within`.
@@ -151,6 +170,7 @@
   std::size_t m_elections = 0;
   std::uint64_t m_version = 0;
   std::uint64_t m_acknowledged = 0;
+  std::map<Order, SubmitStatus> m_outcomes;
 };
 
 } // namespace turmericdyke::test
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorEvacuations.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorEvacuations.cpp
@@ -81,7 +81,7 @@
   Instant Now = monotonicNow();
   // A repeated order is submitted too: it reaches coordinators that lack the
   // first one, because an older version took a snapshot without it.
-  std::uint64_t Ticket = m_core->submit(
+  std::uint64_t Ticket = m_core->submitAsLeader(
       Now, SetEvacuation{Call.m_failureDomain, Call.m_evacuated});
   m_pendingEvacuations[Ticket] = {Call, Exchange, Now};
   m_core->tick(Now, absl::Now(), m_random);
--- a/packages/node/turmericdyke/src/Node/ControlCore.cpp
+++ b/packages/node/turmericdyke/src/Node/ControlCore.cpp
@@ -234,8 +234,20 @@
                                   m_options.m_submitTimeout);
 }
 
+std::uint64_t ControlCore::submitAsLeader(Instant Now, const Command &Value) {
+  return m_pendingCommands.submitInTerm(
+      Now, encodeCommand(Value), m_options.m_submitTimeout, m_raft.term());
+}
+
+std::optional<Term> ControlCore::ledTerm() const {
+  if (!m_raft.isLeader())
+    return std::nullopt;
+  return m_raft.term();
+}
+
 void ControlCore::proposePendingCommands(Instant Now) {
   bool Leads = m_raft.isLeader();
+  m_pendingCommands.leadsTerm(ledTerm());
   if (!Leads && m_raft.leader().empty())
     return;
   std::vector<Envelope> Due = m_pendingCommands.due(Now);
--- a/packages/node/turmericdyke/src/Node/ControlCore.h
+++ b/packages/node/turmericdyke/src/Node/ControlCore.h
@@ -80,6 +80,11 @@
   void tick(Instant Now, absl::Time WallTime, absl::BitGenRef Random);
   /// Submits a command; its completion carries the returned ticket.
   std::uint64_t submit(Instant Now, const Command &Value);
+  /// Submits a command that must not be carried out after newer ones, as
+  /// nothing in it states which state it was given against. Only this node may
+  /// propose it, and only in the term that it leads now: the outcome is unknown
+  /// as soon as the lead is lost.
+  std::uint64_t submitAsLeader(Instant Now, const Command &Value);
   /// Replaces the list of other nodes and the desired voters. From now on the
   /// leader also removes voters that are not desired.
   void setClusterMembers(std::vector<NodeId> Peers, std::vector<NodeId> Voters);
@@ -129,6 +134,7 @@
   void closeOrphanedCalls(Instant Now);
   void sendLeaseRequest(Instant Now);
   void proposePendingCommands(Instant Now);
+  std::optional<Term> ledTerm() const;
   void updateVoters(Instant Now);
   void advanceLogTime(Instant Now, absl::Time WallTime);
   /// Applies the next part of the committed entries.
--- a/packages/node/turmericdyke/src/Node/PendingCommands.cpp
+++ b/packages/node/turmericdyke/src/Node/PendingCommands.cpp
@@ -24,12 +24,37 @@
   return Ticket;
 }
 
+std::uint64_t PendingCommands::submitInTerm(Instant Now, std::string Command,
+                                            absl::Duration Timeout,
+                                            Term LedTerm) {
+  std::uint64_t Ticket = submit(Now, std::move(Command), Timeout);
+  m_pending.at(Ticket).m_term = LedTerm;
+  return Ticket;
+}
+
+PendingCommands::Entries::iterator
+PendingCommands::complete(Entries::iterator Entry, SubmitStatus Status) {
+  m_completions.push_back({Entry->first, Status, CommandApplied(), 0});
+  return m_pending.erase(Entry);
+}
+
+void PendingCommands::leadsTerm(std::optional<Term> LedTerm) {
+  for (auto Entry = m_pending.begin(); Entry != m_pending.end();) {
+    if (!Entry->second.m_term || Entry->second.m_term == LedTerm)
+      ++Entry;
+    else
+      Entry = complete(Entry, Entry->second.m_sent ? SubmitStatus::Unknown
+                                                   : SubmitStatus::NotRun);
+  }
+}
+
 std::vector<Envelope> PendingCommands::due(Instant Now) {
   std::vector<Envelope> Due;
   for (auto &[Ticket, Entry] : m_pending) {
     if (Now < Entry.m_nextTry)
       continue;
-    Entry.m_nextTry = Now + internal::ResendInterval;
+    Entry.m_nextTry =
+        Entry.m_term ? absl::InfiniteFuture() : Now + internal::ResendInterval;
     Entry.m_sent = true;
     Due.push_back({m_node, m_incarnation, Ticket, Entry.m_command});
   }
@@ -40,7 +65,12 @@
                               const std::vector<Envelope> &Envelopes) {
   for (const Envelope &Value : Envelopes) {
     auto Found = m_pending.find(Value.m_ticket);
-    if (Found != m_pending.end())
+    if (Found == m_pending.end())
+      continue;
+    // By the time of a retry, a newer command may have been accepted.
+    if (Found->second.m_term)
+      complete(Found, SubmitStatus::NotRun);
+    else
       Found->second.m_nextTry = Now + internal::RejectedRetryInterval;
   }
 }
@@ -62,10 +92,8 @@
       ++Entry;
       continue;
     }
-    SubmitStatus Status =
-        Entry->second.m_sent ? SubmitStatus::Unknown : SubmitStatus::NotRun;
-    m_completions.push_back({Entry->first, Status, CommandApplied(), 0});
-    Entry = m_pending.erase(Entry);
+    Entry = complete(Entry, Entry->second.m_sent ? SubmitStatus::Unknown
+                                                 : SubmitStatus::NotRun);
   }
 }
 
--- a/packages/node/turmericdyke/src/Node/PendingCommands.h
+++ b/packages/node/turmericdyke/src/Node/PendingCommands.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Consensus/RaftState.h"
 #include "turmericdyke/src/Control/CommandResult.h"
 #include "turmericdyke/src/Edge/ControlPort.h"
 #include "turmericdyke/src/Node/Envelope.h"
@@ -24,6 +26,11 @@
 /// command is sent to the current leader again if no result arrives. Commands
 /// carry identifiers that make applying them idempotent, and only the first
 /// application completes the ticket.
+///
+/// Commands of one term are proposed once, by this node as the leader of that
+/// term, and are never sent to another leader. So the log has them in the order
+/// in which they were submitted, and none can follow a command that a later
+/// leader has accepted.
 class PendingCommands {
 public:
   PendingCommands(NodeId Node, std::uint64_t Incarnation);
@@ -31,10 +38,16 @@
   /// Adds an encoded command and returns its ticket.
   std::uint64_t submit(Instant Now, std::string Command,
                        absl::Duration Timeout);
+  /// The same for a command that only the leader of this term may propose.
+  std::uint64_t submitInTerm(Instant Now, std::string Command,
+                             absl::Duration Timeout, Term LedTerm);
+  /// Completes the commands of terms that this node does not lead: their
+  /// outcome is unknown once they were proposed.
+  void leadsTerm(std::optional<Term> LedTerm);
   /// Returns the commands to send to the leader now.
   std::vector<Envelope> due(Instant Now);
   /// Called when the leader rejected these commands; they become due again
-  /// soon.
+  /// soon. Those of one term have not run.
   void refused(Instant Now, const std::vector<Envelope> &Envelopes);
   /// Called when a command was applied. Returns whether it completed a ticket
   /// of this node.
@@ -52,12 +65,18 @@
     Instant m_deadline;
     Instant m_nextTry;
     bool m_sent = false;
+    /// Only the leader of this term may propose the command.
+    std::optional<Term> m_term = std::nullopt;
   };
+  using Entries = std::map<std::uint64_t, Pending>;
+
+  /// Completes a command without a result and returns the next one.
+  Entries::iterator complete(Entries::iterator Entry, SubmitStatus Status);
 
   NodeId m_node;
   std::uint64_t m_incarnation;
   std::uint64_t m_nextTicket = 1;
-  std::map<std::uint64_t, Pending> m_pending;
+  Entries m_pending;
   std::vector<Completion> m_completions;
 };
 
