Judge a crash by its place in the stream

Cause: the first two events of an attempt counted as proof that the request is sound. An attempt that broke off behind them was not reported, and two events of the next try cleared the request of the reports that there were.

Entry nodes report every attempt that breaks off as in a crash, and progress, with the place in the stream: events of the whole stream, so that resumed attempts, streams that a caller resumed and those of other nodes compare. Only a whole response, or two events beyond the crash, clears the exact request; parts of prompts are judged as before. A crash behind the start counts one point of five, as all streams at the target report it. Such reports travel in a field that earlier builds ignore, excuse nobody who waited there, and have room of their own at the leader.

FeedTest and SuspectTest state progress with its place now; their checks are the same, and the relayed place is checked besides.

Ruled out: clearing a request by any later progress (a deadly one relays events up to its crash each time); full points for crashes behind the start (a sound stream that meets three crashes with its callers' repetitions would be refused).

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -147,7 +147,7 @@
 }
 
 void CoordinatorNode::onCrashReports(const FeedRequest &Request) {
-  if (Request.m_crashes.empty() && Request.m_sound.empty())
+  if (Request.m_crashes.empty() && Request.m_progress.empty())
     return;
   Instant Now = monotonicNow();
   for (const CrashReport &Report : Request.m_crashes) {
@@ -157,11 +157,13 @@
         .field("target", Report.m_target)
         .field("generation", Report.m_generation)
         .field("began", Report.m_began)
+        .field("events", Report.m_events)
+        .field("past_start", Report.m_pastStart)
         .field("keys", absl::StrJoin(Report.m_keys, ","));
   }
   // A request that got through after its crash is reported with it.
-  for (SuspectKey Key : Request.m_sound)
-    m_crashes.markSound(Now, Key);
+  for (const KeyProgress &Value : Request.m_progress)
+    m_crashes.markProgress(Value);
   updateSuspects();
 }
 
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -7,6 +7,7 @@
 #include "absl/random/distributions.h"
 #include "absl/strings/str_join.h"
 #include "turmericdyke/src/Base/LogLine.h"
+#include "turmericdyke/src/Base/Text.h"
 #include "turmericdyke/src/Entry/AttemptRequest.h"
 #include "turmericdyke/src/Entry/EntryServices.h"
 #include "turmericdyke/src/Entry/PeerAttempt.h"
@@ -30,9 +31,6 @@
 constexpr std::size_t MaxUnsentBytes = 64 << 10;
 constexpr absl::Duration UnsentPause = absl::Milliseconds(50);
 
-/// A response with so many events has got past its start. A target that crashes
-/// at the start may still have sent the first one.
-constexpr std::uint64_t EventsPastStart = 2;
 /// An attempt without any progress for this long is passed on when this node
 /// finds itself cut off. Events come every 50 ms at full batches.
 constexpr absl::Duration ProgressExpected = absl::Milliseconds(250);
@@ -235,12 +233,18 @@
   Report.m_target = m_attempt->destination().m_id;
   Report.m_generation = m_attempt->destination().m_generation;
   Report.m_began = m_attempt->headReceived();
+  Report.m_events = streamEvents();
+  Report.m_pastStart = hasPastStart();
   Report.m_keys = keys();
+  if (Report.m_pastStart)
+    Report.m_keys = {keys().back()};
   LogLine(LogLevel::Info, "crash_reported")
       .field("request", m_caller.m_id)
       .field("target", Report.m_target)
       .field("generation", Report.m_generation)
       .field("began", Report.m_began)
+      .field("events", Report.m_events)
+      .field("past_start", Report.m_pastStart)
       .field("keys", absl::StrJoin(Report.m_keys, ","));
   m_services.m_suspects.attemptCrashed(monotonicNow(), std::move(Report));
   m_services.m_feed.requestNow(monotonicNow());
@@ -407,7 +411,17 @@
 }
 
 bool EntryExchange::hasPastStart() const {
-  return m_events.events() >= m_eventsBefore + internal::EventsPastStart;
+  return attemptEvents() >= EventsPastCrash;
+}
+
+std::uint64_t EntryExchange::streamEvents() const {
+  // Events are numbered, and a caller may have resumed the stream.
+  const std::optional<std::string> &Last = m_events.lastId();
+  std::optional<std::int64_t> Number =
+      Last ? parseInteger(*Last) : m_caller.m_resumeAfter;
+  if (Number && *Number >= 0)
+    return static_cast<std::uint64_t>(*Number);
+  return m_events.events();
 }
 
 void EntryExchange::onStreamBytes(std::string_view Bytes) {
@@ -421,7 +435,8 @@
   m_attempt->onEventRelayed(Now);
   m_firstByte = std::min(m_firstByte, Now);
   if (m_services.m_suspects.active() && hasPastStart())
-    m_services.m_suspects.requestProgressed(Now, keys());
+    m_services.m_suspects.requestProgressed(Now, keys(),
+                                            {attemptEvents(), streamEvents()});
   m_exchange->write(Complete);
   awaitCaller();
 }
@@ -555,10 +570,11 @@
 void EntryExchange::onAttemptEnded(AttemptOutcome Outcome) {
   Instant Now = monotonicNow();
   if (Outcome == AttemptOutcome::Answered && m_services.m_suspects.active())
-    m_services.m_suspects.requestProgressed(Now, keys());
+    m_services.m_suspects.requestProgressed(Now, keys(),
+                                            RequestProgress::whole());
   if (m_attempt->mayRetryThere())
     m_tried.erase(m_attempt->destination().m_id);
-  if (m_attempt->brokeOff() && !m_attempt->isPeer() && !hasPastStart())
+  if (m_attempt->brokeOff() && !m_attempt->isPeer())
     reportCrash();
   if (m_done)
     return;
--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.h
@@ -106,6 +106,12 @@
   void countAttempt(AttemptOutcome Outcome);
   AttemptSummary summary(AttemptOutcome Outcome) const;
   bool isRelaying() const { return m_relaying; }
+  /// Events of the current attempt that were relayed.
+  std::uint64_t attemptEvents() const {
+    return m_events.events() - m_eventsBefore;
+  }
+  /// Position in the whole stream, from its first attempt on.
+  std::uint64_t streamEvents() const;
   bool hasPastStart() const;
   /// Why a request that has not run is refused after its attempts.
   Refusal refusalNotRun() const;
--- a/packages/entry/turmericdyke/src/Entry/EntryProtocol.h
+++ b/packages/entry/turmericdyke/src/Entry/EntryProtocol.h
@@ -33,6 +33,9 @@
   /// Identifiers of the parts of the prompt, in order. Requests share parts;
   /// the last one belongs to this request or to its session.
   std::vector<std::string> m_promptParts;
+  /// The number of the last event that the caller has of a stream that it
+  /// resumes, or that another node has relayed to it.
+  std::optional<std::int64_t> m_resumeAfter;
 };
 
 /// Metadata that an attempt sends to the target in addition to the caller's
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -395,7 +395,7 @@
   FeedRequest Reporting;
   Reporting.m_node = NodeId("entry");
   Reporting.m_crashes = {{TargetId("t"), 7, true, {1, 2}}};
-  Reporting.m_sound = {3};
+  Reporting.m_progress = {{3, 7}};
   Relay.collect(Start, Reporting);
   FeedRequest Relayed =
       parseFeedRequest(toJson(Relay.request(Start, Mirror))).value();
@@ -403,7 +403,7 @@
   CHECK(Relayed.m_crashes[0].m_generation == 7);
   CHECK(Relayed.m_crashes[0].m_began);
   CHECK(Relayed.m_crashes[0].m_keys == std::vector<SuspectKey>{1, 2});
-  CHECK(Relayed.m_sound == std::vector<SuspectKey>{3});
+  CHECK(Relayed.m_progress == std::vector<KeyProgress>{{3, 7}});
   CHECK(Relay.request(Start, Mirror).m_crashes.empty());
 
   SuspectLists Lists{9, {1}, {2}};
--- a/packages/feed/test/SuspectTest.cpp
+++ b/packages/feed/test/SuspectTest.cpp
@@ -72,7 +72,7 @@
                      crash(Target + std::to_string(Request), {First, Request}));
   };
   Record(101);
-  Crashes.markSound(after(Millis + 1), First);
+  Crashes.markProgress({First});
   Record(102);
   CHECK(Crashes.judge(after(Millis + 500), neverRefused).empty());
   Record(103);
@@ -237,7 +237,8 @@
     }
     if (m_now < Value.m_past)
       return;
-    m_watches[Value.m_node].requestProgressed(m_now, Value.m_keys);
+    m_watches[Value.m_node].requestProgressed(
+        m_now, Value.m_keys, {EventsPastCrash, EventsPastCrash});
     Value.m_attempts = 0;
   }
 
@@ -270,8 +271,8 @@
       Watch.takeReports(m_now, Report);
       for (const CrashReport &Crash : Report.m_crashes)
         m_crashes.record(m_now, Crash);
-      for (SuspectKey Key : Report.m_sound)
-        m_crashes.markSound(m_now, Key);
+      for (const KeyProgress &Value : Report.m_progress)
+        m_crashes.markProgress(Value);
     }
     for (const CrashAttribution::Verdict &Value :
          m_crashes.judge(m_now, neverRefused))
--- a/packages/feed/turmericdyke/src/Feed/CrashAttribution.cpp
+++ b/packages/feed/turmericdyke/src/Feed/CrashAttribution.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <string_view>
+#include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
@@ -23,41 +25,63 @@
 CrashAttribution::CrashAttribution(CrashAttributionOptions Options)
     : m_options(Options) {}
 
+bool CrashAttribution::Recorded::allCleared() const {
+  return std::find(m_cleared.begin(), m_cleared.end(), false) ==
+         m_cleared.end();
+}
+
 void CrashAttribution::reset() {
   m_reports.clear();
-  m_sound.clear();
   m_accused.clear();
 }
 
 void CrashAttribution::record(Instant Now, CrashReport Report) {
   expire(Now);
-  if (m_reports.size() >= m_options.m_maxReports)
-    m_reports.pop_front();
-  m_reports.push_back({Now, std::move(Report)});
+  evict(Report.m_pastStart);
+  std::vector<bool> Cleared(Report.m_keys.size());
+  m_reports.push_back({Now, std::move(Report), std::move(Cleared)});
 }
 
-void CrashAttribution::markSound(Instant Now, SuspectKey Key) {
-  m_sound[Key] = Now;
-  std::erase_if(m_reports, [this](const Recorded &Value) {
-    const std::vector<SuspectKey> &Keys = Value.m_report.m_keys;
-    return std::none_of(Keys.begin(), Keys.end(),
-                        [&](SuspectKey Other) { return isOpen(Value, Other); });
-  });
-  if (m_reports.empty())
-    m_sound.clear();
+void CrashAttribution::evict(bool PastStart) {
+  auto SameKind = [PastStart](const Recorded &Value) {
+    return Value.m_report.m_pastStart == PastStart;
+  };
+  std::size_t Max =
+      PastStart ? m_options.m_maxReportsPastStart : m_options.m_maxReports;
+  if (static_cast<std::size_t>(
+          std::count_if(m_reports.begin(), m_reports.end(), SameKind)) < Max)
+    return;
+  auto Victim = m_reports.end();
+  if (PastStart) {
+    // A stream that met a single crash is most likely a sound one that its
+    // caller has given up.
+    std::map<SuspectKey, int> Crashes;
+    for (const Recorded &Value : m_reports)
+      ++Crashes[Value.m_report.m_keys.back()];
+    Victim = std::find_if(
+        m_reports.begin(), m_reports.end(), [&](const Recorded &Value) {
+          return SameKind(Value) && Crashes[Value.m_report.m_keys.back()] == 1;
+        });
+  }
+  if (Victim == m_reports.end())
+    Victim = std::find_if(m_reports.begin(), m_reports.end(), SameKind);
+  m_reports.erase(Victim);
+}
+
+void CrashAttribution::markProgress(const KeyProgress &Progress) {
+  for (Recorded &Value : m_reports)
+    for (std::size_t At = 0; At < Value.m_cleared.size(); ++At)
+      if (Value.m_report.m_keys[At] == Progress.m_key &&
+          Progress.m_events >= Value.eventsAt(At) + EventsPastCrash)
+        Value.m_cleared[At] = true;
+  std::erase_if(m_reports,
+                [](const Recorded &Value) { return Value.allCleared(); });
 }
 
 void CrashAttribution::expire(Instant Now) {
   while (!m_reports.empty() &&
          Now - m_reports.front().m_at >= m_options.m_memory)
     m_reports.pop_front();
-  if (m_reports.empty())
-    m_sound.clear();
-}
-
-bool CrashAttribution::isOpen(const Recorded &Value, SuspectKey Key) const {
-  auto Sound = m_sound.find(Key);
-  return Sound == m_sound.end() || Sound->second < Value.m_at;
 }
 
 bool CrashAttribution::isBystander(const Recorded &Value) const {
@@ -65,7 +89,7 @@
     return false;
   return std::any_of(
       m_reports.begin(), m_reports.end(), [&](const Recorded &Other) {
-        return Other.m_report.m_began &&
+        return Other.m_report.m_began && !Other.m_report.m_pastStart &&
                Other.m_report.m_target == Value.m_report.m_target &&
                Other.m_report.m_generation == Value.m_report.m_generation;
       });
@@ -75,17 +99,25 @@
 CrashAttribution::evidence() const {
   std::map<SuspectKey, Evidence> All;
   // Several nodes report the same crash, also with the same part.
-  std::set<std::pair<SuspectKey, std::string>> Seen;
+  std::map<std::tuple<SuspectKey, std::string_view, std::uint64_t>, std::size_t>
+      Seen;
   for (const Recorded &Value : m_reports) {
     if (isBystander(Value))
       continue;
     const std::vector<SuspectKey> &Keys = Value.m_report.m_keys;
     for (std::size_t At = 0; At < Keys.size(); ++At) {
-      if (!isOpen(Value, Keys[At]) ||
-          !Seen.insert({Keys[At], internal::crashOf(Value.m_report)}).second)
+      if (Value.m_cleared[At])
         continue;
       Evidence &Entry = All[Keys[At]];
-      Entry.m_crashes.push_back(&Value);
+      auto [Known, New] =
+          Seen.try_emplace({Keys[At], Value.m_report.m_target.str(),
+                            Value.m_report.m_generation},
+                           Entry.m_crashes.size());
+      if (New)
+        Entry.m_crashes.push_back(&Value);
+      // Of equal requests at one target, the one that was at its start counts.
+      else if (Entry.m_crashes[Known->second]->m_report.m_pastStart)
+        Entry.m_crashes[Known->second] = &Value;
       Entry.m_position = std::max(Entry.m_position, At);
       Entry.m_exact = At + 1 == Keys.size();
     }
@@ -93,12 +125,16 @@
   return All;
 }
 
-int CrashAttribution::pointsOf(const Evidence &Value) const {
+int CrashAttribution::pointsOf(const Evidence &Value,
+                               int PointsIfPastStart) const {
   std::map<SuspectKey, int> ByRequest;
-  for (const Recorded *Crash : Value.m_crashes)
-    ByRequest[Crash->m_report.m_keys.back()] +=
-        Crash->m_report.m_began ? m_options.m_pointsIfBegun
-                                : m_options.m_pointsIfWaiting;
+  for (const Recorded *Crash : Value.m_crashes) {
+    const CrashReport &Report = Crash->m_report;
+    ByRequest[Report.m_keys.back()] += Report.m_pastStart ? PointsIfPastStart
+                                       : Report.m_began
+                                           ? m_options.m_pointsIfBegun
+                                           : m_options.m_pointsIfWaiting;
+  }
   int MaxOfRequest = Value.m_exact ? std::numeric_limits<int>::max()
                                    : m_options.m_guiltyPointsOfPart / 2;
   int Points = 0;
@@ -108,9 +144,10 @@
 }
 
 bool CrashAttribution::isGuilty(const Evidence &Value, bool WasRefused) const {
-  int Points = pointsOf(Value);
   if (WasRefused)
-    return Points >= m_options.m_guiltyPointsAgain;
+    return pointsOf(Value, m_options.m_pointsIfBegun) >=
+           m_options.m_guiltyPointsAgain;
+  int Points = pointsOf(Value, m_options.m_pointsIfPastStart);
   int Needed = Value.m_exact ? m_options.m_guiltyPointsOfRequest
                              : m_options.m_guiltyPointsOfPart;
   return Points >= Needed &&
@@ -148,7 +185,7 @@
       break;
     Verdict &Value = Verdicts.emplace_back();
     Value.m_key = Guilty->first;
-    Value.m_points = pointsOf(Guilty->second);
+    Value.m_points = pointsOf(Guilty->second, m_options.m_pointsIfPastStart);
     for (const Recorded *Crash : Guilty->second.m_crashes)
       Value.m_crashes.push_back(internal::crashOf(Crash->m_report));
     explain(Guilty->first, Guilty->second);
@@ -158,10 +195,8 @@
 
 void CrashAttribution::explain(SuspectKey Key, const Evidence &Guilty) {
   // The crashes of one request may still be those of a part of its prompt.
-  if (Guilty.m_exact) {
-    m_sound[Key] = Guilty.m_crashes.back()->m_at;
-    return;
-  }
+  if (Guilty.m_exact)
+    return markProgress({Key, KeyProgress::Whole});
   std::set<std::string> Crashes;
   for (const Recorded *Crash : Guilty.m_crashes)
     Crashes.insert(internal::crashOf(Crash->m_report));
@@ -172,17 +207,19 @@
 
 std::vector<SuspectKey> CrashAttribution::suspects() const {
   std::vector<SuspectKey> Keys;
-  for (auto At = m_reports.rbegin(); At != m_reports.rend(); ++At) {
-    if (isBystander(*At))
-      continue;
-    for (SuspectKey Key : At->m_report.m_keys) {
-      if (Keys.size() >= m_options.m_maxSuspects)
-        return Keys;
-      if (isOpen(*At, Key) &&
-          std::find(Keys.begin(), Keys.end(), Key) == Keys.end())
-        Keys.push_back(Key);
+  for (bool PastStart : {false, true})
+    for (auto Value = m_reports.rbegin(); Value != m_reports.rend(); ++Value) {
+      if (Value->m_report.m_pastStart != PastStart || isBystander(*Value))
+        continue;
+      for (std::size_t At = 0; At < Value->m_cleared.size(); ++At) {
+        if (Keys.size() >= m_options.m_maxSuspects)
+          return Keys;
+        SuspectKey Key = Value->m_report.m_keys[At];
+        if (!Value->m_cleared[At] &&
+            std::find(Keys.begin(), Keys.end(), Key) == Keys.end())
+          Keys.push_back(Key);
+      }
     }
-  }
   return Keys;
 }
 
--- a/packages/feed/turmericdyke/src/Feed/CrashAttribution.h
+++ b/packages/feed/turmericdyke/src/Feed/CrashAttribution.h
@@ -16,6 +16,8 @@
   /// that may just have been waiting.
   int m_pointsIfBegun = 2;
   int m_pointsIfWaiting = 1;
+  /// And of one that had got past its start, as all others at the target had.
+  int m_pointsIfPastStart = 1;
   /// An exact request with so many points is guilty: it crashed three targets
   /// at the start of its response, or took part in five crashes of targets that
   /// respond at the end of a run. A sound request meets at most four of those:
@@ -36,6 +38,9 @@
   /// Evidence is kept this long, as such requests may be rare.
   absl::Duration m_memory = absl::Hours(1);
   std::size_t m_maxReports = 256;
+  /// Reports of attempts that had got past their start: one for each stream at
+  /// a target that crashes, up to 34, until these streams get through.
+  std::size_t m_maxReportsPastStart = 512;
   /// Bounds the list that is sent to the entry nodes.
   std::size_t m_maxSuspects = 64;
 };
@@ -50,13 +55,19 @@
 /// of its parts, so a key is guilty only if it takes part in crashes at several
 /// times and no request with it gets through in between. Among guilty keys the
 /// most specific one is taken, and explains the crashes it took part in.
+///
+/// A request may crash its targets anywhere in its stream. What was relayed
+/// before that point says nothing: only a response that ends whole, or gets
+/// past the events at which the crashes came, clears it. Sound streams that run
+/// at a target when it crashes are resumed behind what they delivered and get
+/// past that.
 class CrashAttribution {
 public:
   explicit CrashAttribution(CrashAttributionOptions Options = {});
 
   void record(Instant Now, CrashReport Report);
-  /// A request with this key has got past the start of its response.
-  void markSound(Instant Now, SuspectKey Key);
+  /// Clears the key of the crashes so far that a request with it got past.
+  void markProgress(const KeyProgress &Progress);
   void reset();
 
   struct Verdict {
@@ -70,7 +81,8 @@
   std::vector<Verdict> judge(Instant Now,
                              const std::function<bool(SuspectKey)> &WasRefused);
 
-  /// Keys of unexplained crashes that were not sound since, newest first.
+  /// Keys of unexplained crashes that were not cleared since: newest first,
+  /// those of attempts that had got past their start last.
   std::vector<SuspectKey> suspects() const;
   bool empty() const { return m_reports.empty(); }
 
@@ -78,6 +90,14 @@
   struct Recorded {
     Instant m_at;
     CrashReport m_report;
+    /// For each key of the report, whether it was cleared of this crash.
+    std::vector<bool> m_cleared;
+
+    /// Where in the stream the crash came, for the key at this position.
+    std::uint64_t eventsAt(std::size_t At) const {
+      return At + 1 == m_report.m_keys.size() ? m_report.m_events : 0;
+    }
+    bool allCleared() const;
   };
   /// The crashes that one key took part in, each of them once.
   struct Evidence {
@@ -89,18 +109,18 @@
   };
 
   void expire(Instant Now);
-  bool isOpen(const Recorded &Value, SuspectKey Key) const;
+  /// Makes room for a report of this kind.
+  void evict(bool PastStart);
   /// Whether another request is known to have begun at this crash.
   bool isBystander(const Recorded &Value) const;
   std::map<SuspectKey, Evidence> evidence() const;
-  int pointsOf(const Evidence &Value) const;
+  int pointsOf(const Evidence &Value, int PointsIfPastStart) const;
   bool isGuilty(const Evidence &Value, bool WasRefused) const;
   /// Forgets what the verdict explains.
   void explain(SuspectKey Key, const Evidence &Guilty);
 
   CrashAttributionOptions m_options;
   std::deque<Recorded> m_reports;
-  std::map<SuspectKey, Instant> m_sound;
   /// Since when the evidence against a key has been sufficient.
   std::map<SuspectKey, Instant> m_accused;
 };
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
@@ -48,7 +48,7 @@
   Request.m_progressing = std::exchange(m_progressing, {});
   Request.m_suspectsVersion = m_suspectLists.m_version;
   Request.m_crashes = std::exchange(m_crashes, {});
-  Request.m_sound = std::exchange(m_sound, {});
+  Request.m_progress = m_progress.take();
   Request.m_limitsVersion = m_limitRecords.version();
   Request.m_limits = m_limitReports.list(Now).m_limits;
   m_limitReports.clear();
@@ -70,7 +70,8 @@
   m_arrivals.add(Request.m_arrivals);
   internal::mergeInto(m_suspects, Request.m_suspects);
   internal::mergeInto(m_progressing, Request.m_progressing);
-  internal::mergeInto(m_sound, Request.m_sound);
+  for (const KeyProgress &Value : Request.m_progress)
+    m_progress.add(Value);
   m_crashes.insert(m_crashes.end(), Request.m_crashes.begin(),
                    Request.m_crashes.end());
   // Many entry nodes report the same target.
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.h
@@ -7,6 +7,7 @@
 #include "turmericdyke/src/Base/Instant.h"
 #include "turmericdyke/src/Feed/ArrivalCounts.h"
 #include "turmericdyke/src/Feed/LimitRecords.h"
+#include "turmericdyke/src/Feed/ProgressByKey.h"
 #include "turmericdyke/src/Fleet/FeedMessage.h"
 
 namespace turmericdyke {
@@ -82,7 +83,7 @@
   std::vector<TargetId> m_suspects;
   std::vector<TargetId> m_progressing;
   std::vector<CrashReport> m_crashes;
-  std::vector<SuspectKey> m_sound;
+  ProgressByKey m_progress;
   LimitRecords m_limitReports;
 };
 
--- a/packages/feed/turmericdyke/src/Feed/SuspectWatch.cpp
+++ b/packages/feed/turmericdyke/src/Feed/SuspectWatch.cpp
@@ -10,13 +10,15 @@
 namespace internal {
 namespace {
 
-/// Reports of a crash of many targets at once are cut off here.
-constexpr std::size_t MaxReports = 64;
-/// A popular key that stays suspect is reported as sound again after this time.
-constexpr absl::Duration ReportSoundAgain = absl::Milliseconds(250);
-/// By then the leader's lists show whether a key is suspect, or the report was
-/// lost.
-constexpr absl::Duration LeaderKnowsAfter = absl::Seconds(2);
+/// Reports of a crash of many targets at once are cut off here, those of
+/// attempts at the start of their response and of others each.
+constexpr std::ptrdiff_t MaxReports = 64;
+/// The same progress of a popular key that stays suspect is reported again
+/// after this time.
+constexpr absl::Duration ReportAgain = absl::Milliseconds(250);
+/// By then most streams that broke off with a target have ended at another one.
+/// The leader's list may be too short for all of them.
+constexpr absl::Duration OwnSuspectsFor = absl::Seconds(10);
 
 } // namespace
 } // namespace internal
@@ -29,7 +31,7 @@
       std::any_of(Refused.begin(), Refused.end(),
                   [this](SuspectKey Key) { return !m_refused.contains(Key); });
   m_refused = std::move(Refused);
-  std::erase_if(m_reportedSound, [this](const auto &Entry) {
+  std::erase_if(m_reported, [this](const auto &Entry) {
     return !m_suspects.contains(Entry.first) &&
            !m_ownSuspects.contains(Entry.first);
   });
@@ -43,7 +45,10 @@
 }
 
 void SuspectWatch::attemptCrashed(Instant Now, CrashReport Report) {
-  if (m_reports.size() >= internal::MaxReports)
+  if (std::count_if(m_reports.begin(), m_reports.end(),
+                    [&Report](const CrashReport &Other) {
+                      return Other.m_pastStart == Report.m_pastStart;
+                    }) >= internal::MaxReports)
     return;
   // The retry of this request may show at once which keys are sound.
   for (SuspectKey Key : Report.m_keys)
@@ -52,25 +57,31 @@
 }
 
 void SuspectWatch::requestProgressed(Instant Now,
-                                     absl::Span<const SuspectKey> Keys) {
-  for (SuspectKey Key : Keys) {
+                                     absl::Span<const SuspectKey> Keys,
+                                     const RequestProgress &Progress) {
+  for (std::size_t At = 0; At < Keys.size(); ++At) {
+    SuspectKey Key = Keys[At];
     if (!m_suspects.contains(Key) && !m_ownSuspects.contains(Key))
       continue;
-    auto [Last, New] = m_reportedSound.try_emplace(Key, Now);
-    if (!New && Now - Last->second < internal::ReportSoundAgain)
+    bool Exact = At + 1 == Keys.size();
+    std::uint64_t Events = Exact ? Progress.m_ofStream : Progress.m_ofAttempt;
+    auto [Last, New] = m_reported.try_emplace(Key, Reported{Now, Events});
+    // Parts are only asked for the start of a response.
+    bool Farther = (Exact || Events == KeyProgress::Whole) &&
+                   Events > Last->second.m_events;
+    if (!New && !Farther && Now - Last->second.m_at < internal::ReportAgain)
       continue;
-    Last->second = Now;
-    m_sound.insert(Key);
+    Last->second = {Now, Events};
+    m_progress.add({Key, Events});
   }
 }
 
 void SuspectWatch::takeReports(Instant Now, FeedRequest &Request) {
   std::erase_if(m_ownSuspects, [Now](const auto &Entry) {
-    return Now - Entry.second >= internal::LeaderKnowsAfter;
+    return Now - Entry.second >= internal::OwnSuspectsFor;
   });
   Request.m_crashes = std::exchange(m_reports, {});
-  Request.m_sound.assign(m_sound.begin(), m_sound.end());
-  m_sound.clear();
+  Request.m_progress = m_progress.take();
 }
 
 } // namespace turmericdyke
--- a/packages/feed/turmericdyke/src/Feed/SuspectWatch.h
+++ b/packages/feed/turmericdyke/src/Feed/SuspectWatch.h
@@ -6,12 +6,23 @@
 
 #include "absl/types/span.h"
 #include "turmericdyke/src/Base/Instant.h"
+#include "turmericdyke/src/Feed/ProgressByKey.h"
 #include "turmericdyke/src/Fleet/CrashReport.h"
 
 namespace turmericdyke {
 
 struct FeedRequest;
 
+/// How far a request has got without a crash, in events; see `KeyProgress`.
+struct RequestProgress {
+  std::uint64_t m_ofAttempt = 0;
+  std::uint64_t m_ofStream = 0;
+
+  static RequestProgress whole() {
+    return {KeyProgress::Whole, KeyProgress::Whole};
+  }
+};
+
 /// The entry node's side of `CrashAttribution`: which requests are refused, and
 /// what this node has to report on crashes and on suspect keys.
 class SuspectWatch {
@@ -30,10 +41,12 @@
 
   /// An attempt broke off as if its target had crashed.
   void attemptCrashed(Instant Now, CrashReport Report);
-  /// A request has got past the start of its response.
-  void requestProgressed(Instant Now, absl::Span<const SuspectKey> Keys);
+  /// A request has got past the start of its response. The last of `Keys` is
+  /// the exact request.
+  void requestProgressed(Instant Now, absl::Span<const SuspectKey> Keys,
+                         const RequestProgress &Progress);
 
-  bool hasReports() const { return !m_reports.empty() || !m_sound.empty(); }
+  bool hasReports() const { return !m_reports.empty() || !m_progress.empty(); }
   /// Moves the reports into a request to the leader.
   void takeReports(Instant Now, FeedRequest &Request);
 
@@ -44,9 +57,14 @@
   std::map<SuspectKey, Instant> m_ownSuspects;
   std::set<SuspectKey> m_refused;
   std::vector<CrashReport> m_reports;
-  std::set<SuspectKey> m_sound;
-  /// When each suspect key was last reported as sound.
-  std::map<SuspectKey, Instant> m_reportedSound;
+  ProgressByKey m_progress;
+  /// When the progress of each suspect key was last reported, and how far it
+  /// was.
+  struct Reported {
+    Instant m_at;
+    std::uint64_t m_events = 0;
+  };
+  std::map<SuspectKey, Reported> m_reported;
 };
 
 } // namespace turmericdyke
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -63,7 +63,8 @@
   return {{"t", Value.m_target.str()},
           {"g", Value.m_generation},
           {"b", Value.m_began},
-          {"k", listJson(Value.m_keys)}};
+          {"k", listJson(Value.m_keys)},
+          {"e", Value.m_events}};
 }
 
 template <class Entry> Json listJson(const std::vector<Entry> &Entries) {
@@ -164,7 +165,8 @@
   JsonReader Reader(Value);
   Reader.id("t", Entry.m_target, true)
       .number("g", Entry.m_generation)
-      .flag("b", Entry.m_began);
+      .flag("b", Entry.m_began)
+      .number("e", Entry.m_events);
   readList(Reader, "k", Entry.m_keys);
   if (Entry.m_keys.empty() || Entry.m_keys.size() > MaxKeysOfRequest)
     Reader.fail("k", "is empty or has too many entries");
@@ -186,6 +188,43 @@
   }
 }
 
+/// Earlier versions take the crashes of attempts that had got past their start
+/// for others, and read the keys without the numbers of events.
+void writeCrashes(const FeedRequest &Message, Json &Object) {
+  Json Early = Json::array();
+  Json Late = Json::array();
+  for (const CrashReport &Report : Message.m_crashes)
+    (Report.m_pastStart ? Late : Early).push_back(entryJson(Report));
+  if (!Early.empty())
+    Object["crashes"] = std::move(Early);
+  if (!Late.empty())
+    Object["late_crashes"] = std::move(Late);
+  for (const KeyProgress &Value : Message.m_progress) {
+    Object["sound_keys"].push_back(Value.m_key);
+    Object["sound_events"].push_back(Value.m_events);
+  }
+}
+
+void readCrashes(JsonReader &Reader, FeedRequest &Read) {
+  std::vector<CrashReport> Late;
+  std::vector<SuspectKey> Keys;
+  std::vector<std::uint64_t> Events;
+  readList(Reader, "crashes", Read.m_crashes);
+  readList(Reader, "late_crashes", Late);
+  readList(Reader, "sound_keys", Keys);
+  readList(Reader, "sound_events", Events);
+  for (CrashReport &Report : Late) {
+    Report.m_pastStart = true;
+    Read.m_crashes.push_back(std::move(Report));
+  }
+  for (std::size_t At = 0; At < Keys.size(); ++At) {
+    KeyProgress &Value = Read.m_progress.emplace_back();
+    Value.m_key = Keys[At];
+    if (At < Events.size())
+      Value.m_events = Events[At];
+  }
+}
+
 void readTargets(JsonReader &Reader, FeedUpdate &Update) {
   const Json *List = Reader.list("targets");
   if (List == nullptr)
@@ -319,10 +358,7 @@
   // Rarely set, and sent four times a second by each entry node.
   if (Message.m_suspectsVersion != 0)
     Object["suspect_keys_version"] = Message.m_suspectsVersion;
-  if (!Message.m_crashes.empty())
-    Object["crashes"] = internal::listJson(Message.m_crashes);
-  if (!Message.m_sound.empty())
-    Object["sound_keys"] = internal::listJson(Message.m_sound);
+  internal::writeCrashes(Message, Object);
   if (!Message.m_arrivals.empty())
     Object["arrivals"] = internal::listJson(Message.m_arrivals);
   if (Message.m_limitsVersion != 0)
@@ -411,8 +447,7 @@
   internal::readList(Reader, "uses", Read.m_uses);
   internal::readList(Reader, "suspects", Read.m_suspects);
   internal::readList(Reader, "progressing", Read.m_progressing);
-  internal::readList(Reader, "crashes", Read.m_crashes);
-  internal::readList(Reader, "sound_keys", Read.m_sound);
+  internal::readCrashes(Reader, Read);
   internal::readList(Reader, "limits", Read.m_limits);
   internal::readList(Reader, "arrivals", Read.m_arrivals);
   if (const nlohmann::json *Peers = Reader.object("offered_peers"))
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -102,10 +102,11 @@
   std::vector<TargetId> m_progressing;
   /// Version of the suspect lists it holds.
   std::uint64_t m_suspectsVersion = 0;
-  /// Attempts that broke off since its last report, and suspect keys of
-  /// requests that got past the start of their responses.
+  /// Attempts that broke off since its last report, and how far requests with
+  /// suspect keys have got. Earlier versions state no number of events, and
+  /// report no attempt that had got past its start.
   std::vector<CrashReport> m_crashes;
-  std::vector<SuspectKey> m_sound;
+  std::vector<KeyProgress> m_progress;
   /// Version of the target limits it holds, and what targets have stated to it
   /// otherwise.
   std::uint64_t m_limitsVersion = 0;
