--- a/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
+++ b/packages/entry/turmericdyke/src/Entry/EntryExchange.cpp
@@ -235,9 +235,7 @@
   Report.m_began = m_attempt->headReceived();
   Report.m_events = streamEvents();
   Report.m_pastStart = hasPastStart();
-  Report.m_keys = keys();
-  if (Report.m_pastStart)
-    Report.m_keys = {keys().back()};
+  Report.m_keys = Report.m_pastStart ? std::vector{keys().back()} : keys();
   LogLine(LogLevel::Info, "crash_reported")
       .field("request", m_caller.m_id)
       .field("target", Report.m_target)
