Test that crash reports cross builds without places in streams

An earlier build must not take a crash behind the start of a stream for one at the start, and a key that it reports without a place must still clear the crashes at the start. LateCrashTest reads a report with and without the fields that are new.

--- a/packages/feed/test/LateCrashTest.cpp
+++ b/packages/feed/test/LateCrashTest.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "absl/random/distributions.h"
 #include "turmericdyke/Feed"
 
@@ -350,6 +352,38 @@
       }
 }
 
+// Guards against crashes behind the start of a stream that an earlier build
+// takes for crashes at the start, and against a key without a place, as it
+// reports it, that clears nothing.
+TEST_CASE("a report crosses builds that know no places in streams") {
+  FeedRequest Sent;
+  Sent.m_node = NodeId("entry");
+  Sent.m_crashes = {lateCrash("a", 7, 6), lateCrash("b", 8, 1)};
+  Sent.m_crashes[1].m_pastStart = false;
+  Sent.m_progress = {{8, KeyProgress::Whole}, {9, 5}};
+  nlohmann::json Wire = toJson(Sent);
+  CHECK(Wire["crashes"].size() == 1);
+  CHECK(Wire["sound_keys"] == nlohmann::json({8, 9}));
+  FeedRequest Read = parseFeedRequest(Wire).value();
+  CHECK(Read.m_progress == Sent.m_progress);
+  REQUIRE(Read.m_crashes.size() == 2);
+  for (const CrashReport &Each : Read.m_crashes) {
+    CHECK(Each.m_pastStart == (Each.m_keys.front() == 7));
+    CHECK(Each.m_events == (Each.m_pastStart ? 6 : 1));
+  }
+  Wire.erase("sound_events");
+  Wire.erase("late_crashes");
+  Wire["crashes"][0].erase("e");
+  Read = parseFeedRequest(Wire).value();
+  CHECK(Read.m_progress ==
+        std::vector<KeyProgress>{{8, EventsPastCrash}, {9, EventsPastCrash}});
+  REQUIRE(Read.m_crashes.size() == 1);
+  CrashAttribution Crashes;
+  Crashes.record(Start, Read.m_crashes.front());
+  Crashes.markProgress(Read.m_progress.front());
+  CHECK(Crashes.empty());
+}
+
 TEST_CASE("progress up to a crash does not clear it, progress beyond it and a "
           "whole answer do") {
   constexpr SuspectKey Key = 7;
