Acknowledge a departure once entry nodes have taken the server out

Cause: the answer left when the departure was recorded, some 12 ms after the announcement, and entry nodes were told after 30 ms. If the leader was lost in between, they went on with what they held until a successor had told them, or their lease of 4 s had ended; the bound is 2 s.

The answer now also waits until each entry node heard from lately has asked from a state without the server. The update that removes it asks nodes to confirm at once, a relay confirms what its entry nodes hold, and a server that would wait longer than 0.7 s is refused and asks again. Withdrawals share the mechanism. The new fields are ignored by earlier builds, which confirm within 250 ms.

Ruled out: a shorter lease of entry nodes, which would stop service in each election. By reading: records on one disk only, records that expire, a new leader without a copy of the directory. When a departure was recorded, on which voters, and when the answer left is logged now.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorCalls.cpp
@@ -121,9 +121,9 @@
       announcementResponse(Announcement, m_servers.all().size());
   if (!Announcement.m_draining)
     return Exchange->respond(Response);
-  awaitRecord(Departure::Draining,
-              {Announcement.m_id, Announcement.m_startMillis}, Exchange,
-              std::move(Response));
+  awaitDeparture(Departure::Draining,
+                 {Announcement.m_id, Announcement.m_startMillis}, Exchange,
+                 std::move(Response));
 }
 
 void CoordinatorNode::accept(ServerAnnouncement Announcement) {
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorDepartures.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorDepartures.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Coordinator/DepartureRecords.h"
@@ -20,10 +21,22 @@
 constexpr absl::Duration DepartureBatchDelay = absl::Milliseconds(10);
 /// More departures than one command may hold are split.
 constexpr std::ptrdiff_t MaxDeparturesPerCommand = 1024;
+/// A server waits a second for the answer.
+constexpr absl::Duration MaxDeliveryWait = absl::Milliseconds(700);
+/// Interval at which the waits for entry nodes are looked at, besides each
+/// request of such a node.
+constexpr absl::Duration DeliveryCheckInterval = absl::Milliseconds(25);
+/// How long entry nodes take to find a new leader: the time after which they
+/// ask other coordinators, and one more request.
+constexpr absl::Duration EntryReturnTime = absl::Seconds(1);
 /// Entry nodes that have not heard from a leader for longer hold no targets
 /// that they may use. Log time advances every 10 s.
 constexpr absl::Duration RecentDeparture = absl::Minutes(1);
 
+void appendNode(std::string *Out, const NodeId &Node) {
+  Out->append(Node.str());
+}
+
 } // namespace
 } // namespace internal
 
@@ -39,7 +52,8 @@
     // Without the start of the server its late announcements could not be told
     // from those of its next life.
     if (wasWithdrawn(m_core->state(), Call.m_id))
-      return Exchange->respond(HttpResponse());
+      return awaitDeparture(Departure::Withdrawn, {Call.m_id}, Exchange,
+                            HttpResponse());
     return Exchange->respond(
         m_protocol.errorResponse(503, "the server is not known"));
   }
@@ -47,19 +61,28 @@
   m_servers.withdraw(monotonicNow(), Call.m_id);
   pushDirectory();
   schedulePlan();
-  awaitRecord(Departure::Withdrawn, std::move(Leaving), Exchange,
-              HttpResponse());
+  awaitDeparture(Departure::Withdrawn, std::move(Leaving), Exchange,
+                 HttpResponse());
 }
 
-void CoordinatorNode::awaitRecord(
+void CoordinatorNode::awaitDeparture(
     Departure Kind, ServerIncarnation Server,
     const std::shared_ptr<ServerExchange> &Exchange, HttpResponse Response) {
+  Instant Now = monotonicNow();
   // A server that has withdrawn needs no record of its drain.
-  if (isWithdrawn(m_core->state(), Server) ||
-      (Kind == Departure::Draining && isDraining(m_core->state(), Server)))
+  bool Recorded =
+      isWithdrawn(m_core->state(), Server) ||
+      (Kind == Departure::Draining && isDraining(m_core->state(), Server));
+  if (Recorded && isOutOfUse(Now, Server.m_id))
     return Exchange->respond(Response);
-  m_departures.push_back(
-      {Kind, std::move(Server), Exchange, std::move(Response), monotonicNow()});
+  PendingDeparture Value{Kind, std::move(Server), Exchange, std::move(Response),
+                         Now};
+  schedulePlan();
+  if (Recorded) {
+    m_recordedDepartures.push_back(std::move(Value));
+    return answerDepartures();
+  }
+  m_departures.push_back(std::move(Value));
   if (!m_departureTimer)
     m_departureTimer = m_loop.after(internal::DepartureBatchDelay,
                                     [this] { submitDepartures(); });
@@ -97,29 +120,102 @@
   runCore();
 }
 
-void CoordinatorNode::onDeparturesDone(std::uint64_t Ticket, bool Committed) {
-  auto Found = m_submittedDepartures.find(Ticket);
+void CoordinatorNode::onDeparturesDone(const Completion &Done) {
+  auto Found = m_submittedDepartures.find(Done.m_ticket);
   if (Found == m_submittedDepartures.end())
     return;
   std::vector<PendingDeparture> Batch = std::move(Found->second);
   m_submittedDepartures.erase(Found);
-  LogLine(LogLevel::Info, "departures_answered")
+  bool Committed = Done.m_status == SubmitStatus::Committed;
+  std::vector<NodeId> Holders = {m_self};
+  for (const PeerStatus &Peer : m_core->raft().peers())
+    if (Peer.m_countsForQuorum && Peer.m_matchIndex >= Done.m_index)
+      Holders.push_back(Peer.m_node);
+  LogLine(LogLevel::Info, "departures_recorded")
       .field("kind", Batch.front().m_kind == Departure::Draining ? "draining"
                                                                  : "withdrawn")
       .field("servers", Batch.size())
       .field("committed", Committed)
+      .field("index", Done.m_index)
+      .field("voters", absl::StrJoin(Holders, ",", internal::appendNode))
       .field("ms", absl::ToInt64Milliseconds(monotonicNow() -
                                              Batch.front().m_received));
+  if (Committed) {
+    m_recordedDepartures.insert(m_recordedDepartures.end(), Batch.begin(),
+                                Batch.end());
+    return answerDepartures();
+  }
   for (const PendingDeparture &Value : Batch)
     Value.m_exchange->respond(
-        Committed ? Value.m_response
-                  : m_protocol.errorResponse(503, "not known to be recorded"));
+        m_protocol.errorResponse(503, "not known to be recorded"));
+}
+
+bool CoordinatorNode::isOutOfUse(Instant Now, const TargetId &Id) const {
+  if (!leads() || m_ledTerm != m_core->raft().term())
+    return false;
+  // The first leader ever has no predecessor whose targets are in use.
+  bool EntriesReturned =
+      m_fencingToken == 1 || Now - m_leaderSince >= internal::EntryReturnTime;
+  return EntriesReturned && m_feed.isOutOfUse(Now, Id);
+}
+
+void CoordinatorNode::answerDepartures() {
+  if (m_recordedDepartures.empty())
+    return;
+  Instant Now = monotonicNow();
+  Instant Received = Now;
+  std::size_t Acknowledged = 0;
+  std::size_t Refused = 0;
+  std::vector<PendingDeparture> Waiting;
+  for (PendingDeparture &Value : std::exchange(m_recordedDepartures, {})) {
+    bool OutOfUse = isOutOfUse(Now, Value.m_server.m_id);
+    if (!OutOfUse && Now - Value.m_received < internal::MaxDeliveryWait) {
+      Waiting.push_back(std::move(Value));
+      continue;
+    }
+    ++(OutOfUse ? Acknowledged : Refused);
+    Received = std::min(Received, Value.m_received);
+    Value.m_exchange->respond(
+        OutOfUse ? Value.m_response
+                 : m_protocol.errorResponse(
+                       503, "entry nodes may still use the server"));
+  }
+  m_recordedDepartures = std::move(Waiting);
+  if (Acknowledged + Refused > 0)
+    LogLine(LogLevel::Info, "departures_answered")
+        .field("acknowledged", Acknowledged)
+        .field("refused", Refused)
+        .field("unconfirmed", absl::StrJoin(m_feed.unconfirmed(Now), ",",
+                                            internal::appendNode))
+        .field("ms", absl::ToInt64Milliseconds(Now - Received));
+  m_loop.cancel(m_deliveryTimer);
+  m_deliveryTimer = EventLoop::Timer{};
+  if (!m_recordedDepartures.empty())
+    m_deliveryTimer = m_loop.after(internal::DeliveryCheckInterval, [this] {
+      m_deliveryTimer = EventLoop::Timer{};
+      answerDepartures();
+    });
+}
+
+std::vector<TargetId> CoordinatorNode::departingServers() const {
+  std::vector<TargetId> Departing;
+  auto Add = [&](const std::vector<PendingDeparture> &Values) {
+    for (const PendingDeparture &Value : Values)
+      Departing.push_back(Value.m_server.m_id);
+  };
+  Add(m_departures);
+  for (const auto &[Ticket, Batch] : m_submittedDepartures)
+    Add(Batch);
+  Add(m_recordedDepartures);
+  return Departing;
 }
 
 void CoordinatorNode::refuseDepartures(const std::string &Reason) {
   std::vector<PendingDeparture> Waiting = std::exchange(m_departures, {});
   for (const auto &[Ticket, Batch] : std::exchange(m_submittedDepartures, {}))
     Waiting.insert(Waiting.end(), Batch.begin(), Batch.end());
+  for (PendingDeparture &Value : std::exchange(m_recordedDepartures, {}))
+    Waiting.push_back(std::move(Value));
   for (const PendingDeparture &Value : Waiting)
     Value.m_exchange->respond(m_protocol.errorResponse(503, Reason));
 }
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.cpp
@@ -310,7 +310,7 @@
       continue;
     }
     onEvacuationDone(Done);
-    onDeparturesDone(Done.m_ticket, Done.m_status == SubmitStatus::Committed);
+    onDeparturesDone(Done);
     auto Found = m_pendingPuts.find(Done.m_ticket);
     if (Found == m_pendingPuts.end())
       continue;
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorNode.h
@@ -129,14 +129,23 @@
   void coolReturnedServers();
   std::vector<FailureDomainStatus> failureDomainStatus() const;
   void setEvacuationMetrics();
-  /// Responds once the departure of the server is in the replicated log.
-  void awaitRecord(Departure Kind, ServerIncarnation Server,
-                   const std::shared_ptr<ServerExchange> &Exchange,
-                   HttpResponse Response);
-  /// Records the departures that have arrived in the replicated state; they are
-  /// acknowledged once they are committed.
+  /// Responds once the departure of the server is in the replicated log and no
+  /// entry node uses the server for new requests. Refuses if that takes longer
+  /// than the server waits.
+  void awaitDeparture(Departure Kind, ServerIncarnation Server,
+                      const std::shared_ptr<ServerExchange> &Exchange,
+                      HttpResponse Response);
+  /// Records the departures that have arrived in the replicated state.
   void submitDepartures();
-  void onDeparturesDone(std::uint64_t Ticket, bool Committed);
+  void onDeparturesDone(const Completion &Done);
+  /// Whether entry nodes have taken the server out, so that no request follows
+  /// whatever becomes of this leader.
+  bool isOutOfUse(Instant Now, const TargetId &Id) const;
+  /// Responds to the recorded departures whose servers are out of use, and to
+  /// those that have waited too long.
+  void answerDepartures();
+  /// The servers that wait for the acknowledgement of their departure.
+  std::vector<TargetId> departingServers() const;
   void refuseDepartures(const std::string &Reason);
   /// Takes over the departures that the replicated state records.
   void applyDepartures();
@@ -218,7 +227,7 @@
     Departure m_kind = Departure::Draining;
     ServerIncarnation m_server;
     std::shared_ptr<ServerExchange> m_exchange;
-    /// Sent once the departure is recorded.
+    /// Sent once the departure is recorded and the server is out of use.
     HttpResponse m_response;
     Instant m_received;
   };
@@ -257,7 +266,10 @@
   /// ticket.
   std::vector<PendingDeparture> m_departures;
   std::map<std::uint64_t, std::vector<PendingDeparture>> m_submittedDepartures;
+  /// Those in the replicated log that entry nodes may still use.
+  std::vector<PendingDeparture> m_recordedDepartures;
   EventLoop::Timer m_departureTimer;
+  EventLoop::Timer m_deliveryTimer;
   /// Evacuation orders that wait to be committed, by ticket.
   std::map<std::uint64_t, PendingEvacuation> m_pendingEvacuations;
   /// The failure domains whose servers may not be used, by the replicated state
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorPlanning.cpp
@@ -87,6 +87,8 @@
   m_fencingToken = 0;
   m_planner.stop();
   setDemandMetrics(false);
+  // Only a leader knows what entry nodes hold.
+  refuseDepartures("no longer leads");
   m_crashes.reset();
   m_limits.clear();
   m_cold.clear();
@@ -343,16 +345,21 @@
 void CoordinatorNode::publishTargets() {
   std::vector<ServingTarget> Targets = servingTargets();
   updateColdTargets(Targets);
+  std::vector<TargetId> Departing = departingServers();
+  std::vector<TargetId> Closed = Departing;
   // Entry nodes may hold targets of an earlier term until this leader knows all
   // servers, but not those that have left or are in evacuated failure domains.
-  std::vector<TargetId> Closed;
   if (!m_settled || !m_planner.leading()) {
-    Closed = evacuatedServers();
+    for (TargetId &Id : evacuatedServers())
+      Closed.push_back(std::move(Id));
     for (TargetId &Id : departedServers())
       Closed.push_back(std::move(Id));
   }
-  m_feed.setTargets(Targets, Closed);
+  m_feed.setTargets(monotonicNow(), Targets, Closed);
+  for (const TargetId &Id : Departing)
+    m_feed.requestConfirmation(Id);
   pushFeed();
+  answerDepartures();
 }
 
 } // namespace turmericdyke
--- a/packages/feed/test/ClosedTargetsTest.cpp
+++ b/packages/feed/test/ClosedTargetsTest.cpp
@@ -49,20 +49,20 @@
   FeedPublisher Old;
   FeedPublisher New;
   FeedFollower Follower(NodeId("entry"), {NodeId("leader")});
-  Old.setTargets({target("a"), target("b")});
+  Old.setTargets(Start, {target("a"), target("b")});
   ask(Follower, Start, Old, context(1, true));
   REQUIRE(Follower.targets().size() == 2);
-  New.setTargets({}, {TargetId("a"), TargetId("unknown")});
+  New.setTargets(Start, {}, {TargetId("a"), TargetId("unknown")});
   FeedChange Change =
       ask(Follower, Start + absl::Seconds(1), New, context(2, false));
   CHECK(Change.m_ended == std::vector<TargetId>{TargetId("a")});
   CHECK(Follower.targets().size() == 1);
   // Repeating the list is no change that would be sent again.
   std::uint64_t Sequence = New.sequence();
-  New.setTargets({}, {TargetId("a"), TargetId("unknown")});
+  New.setTargets(Start, {}, {TargetId("a"), TargetId("unknown")});
   CHECK(New.sequence() == Sequence);
   // The evacuation has ended.
-  New.setTargets({target("a")});
+  New.setTargets(Start, {target("a")});
   Change = ask(Follower, Start + absl::Seconds(2), New, context(2, false));
   CHECK(Change.m_ended.empty());
   CHECK(Change.m_listed == std::vector<TargetId>{TargetId("a")});
@@ -74,9 +74,9 @@
   FeedPublisher Mirror;
   FeedRelay Relay(NodeId("relay"));
   FeedFollower Follower(NodeId("entry"), {NodeId("leader")});
-  Old.setTargets({target("a"), target("b")});
+  Old.setTargets(Start, {target("a"), target("b")});
   ask(Follower, Start, Old, context(1, true));
-  Leader.setTargets({}, {TargetId("a")});
+  Leader.setTargets(Start, {}, {TargetId("a")});
   Instant Now = Start + absl::Seconds(1);
   Relay.receive(
       Now, Leader.respond(Now, Relay.request(Now, Mirror), context(2, false)),
--- a/packages/feed/test/ColdFeedTest.cpp
+++ b/packages/feed/test/ColdFeedTest.cpp
@@ -43,7 +43,7 @@
 TEST_CASE("the rate of a cold target and its grants reach an entry node, and "
           "the grants count from when it asked") {
   FeedPublisher Publisher;
-  Publisher.setTargets({coldTarget()});
+  Publisher.setTargets(Start, {coldTarget()});
   Publisher.coldGrants().setTargets(Start, {coldTarget()});
   FeedFollower Follower(NodeId("entry"), {NodeId("leader")});
   Follower.receive(
@@ -84,7 +84,7 @@
 // Guards against a grant that nobody uses or that two coordinators give.
 TEST_CASE("only a leader that is the source of a node grants") {
   FeedPublisher Publisher;
-  Publisher.setTargets({coldTarget()});
+  Publisher.setTargets(Start, {coldTarget()});
   Publisher.coldGrants().setTargets(Start, {coldTarget()});
   FeedRequest Request;
   Request.m_node = NodeId("entry");
--- a/packages/feed/test/FeedScaleTest.cpp
+++ b/packages/feed/test/FeedScaleTest.cpp
@@ -69,7 +69,7 @@
       Value.m_generation = At == 0 ? Generation : 1;
       List.push_back(Value);
     }
-    m_publishers[0].setTargets(List);
+    m_publishers[0].setTargets(Start, List);
   }
 
   void run(absl::Duration For) {
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -61,7 +61,7 @@
       List.reserve(Present.size());
       for (const auto &[Name, Generation] : Present)
         List.push_back(target(Name, Generation));
-      Publisher.setTargets(List);
+      Publisher.setTargets(Start, List);
       bool Lost = Draw % 4 == 0;
       for (auto &[Node, Update] : Publisher.pendingUpdates(Now, context(1)))
         if (!Lost)
@@ -84,13 +84,13 @@
           "replaces them") {
   FeedPublisher Old;
   FeedFollower Follower(NodeId("entry"), {NodeId("leader")});
-  Old.setTargets({target("a"), target("b")});
+  Old.setTargets(Start, {target("a"), target("b")});
   Follower.receive(Start,
                    Old.respond(Start, dueRequest(Follower, Start), context(1)));
   CHECK(Follower.targets().size() == 2);
   Instant Later = Start + absl::Seconds(1);
   FeedPublisher New;
-  New.setTargets({target("b"), target("c")});
+  New.setTargets(Start, {target("b"), target("c")});
   Follower.receive(Later, New.respond(Later, dueRequest(Follower, Later),
                                       context(2, false)));
   CHECK(Follower.targets().size() == 3);
@@ -363,7 +363,7 @@
       List.reserve(Present.size());
       for (const auto &[Name, Generation] : Present)
         List.push_back(target(Name, Generation));
-      Leader.setTargets(List);
+      Leader.setTargets(Start, List);
       States.push_back(Present);
       std::size_t Updated = Draw % 2;
       sync(Relays[Updated], Mirrors[Updated], Leader, Now, Now, context(1));
@@ -586,7 +586,7 @@
 TEST_CASE("a coordinator that is only asked for help does not count the node") {
   FeedPublisher Publisher;
   FeedFollower Follower(NodeId("entry"), {NodeId("leader"), NodeId("other")});
-  Publisher.setTargets({target("a")});
+  Publisher.setTargets(Start, {target("a")});
   Follower.receive(
       Start, Publisher.respond(Start, dueRequest(Follower, Start), context(1)));
   // The other coordinators are asked in turn; the first one is the source.
@@ -596,7 +596,7 @@
   std::vector<FeedFollower::OutgoingRequest> Due = Follower.tick(Later);
   REQUIRE(Due.size() == 2);
   FeedPublisher Other;
-  Other.setTargets({target("a")});
+  Other.setTargets(Start, {target("a")});
   FeedUpdate Help = Other.respond(Later, Due.back().m_request, context(1));
   CHECK(Help.m_leads);
   CHECK(Other.entryNodes(Later) == 0);
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -45,14 +45,18 @@
     return;
   m_source = Source;
   m_sourceSince = Now;
+  // The source must know soon what this node holds.
+  m_confirmAt = Now;
 }
 
 std::vector<FeedFollower::OutgoingRequest>
 FeedFollower::tick(Instant Now, std::vector<TargetUse> Uses) {
   std::vector<OutgoingRequest> Due;
-  if (Now < m_nextRequest)
+  if (Now < nextTick())
     return Due;
-  m_nextRequest = Now + m_options.m_interval;
+  m_confirmAt = absl::InfiniteFuture();
+  if (Now >= m_nextRequest)
+    m_nextRequest = Now + m_options.m_interval;
   if (m_source != m_leader && !sourceResponds(Now)) {
     m_silentSource = m_source;
     m_avoidUntil = Now + m_options.m_avoidSourceFor;
@@ -139,8 +143,11 @@
   applyUses(Now, Update);
   // An update that starts after the held state would leave a gap. The next
   // request states what is held.
+  std::uint64_t Held = m_sequence;
   if (Update.m_from <= m_sequence)
     applyTargets(Update, Change);
+  if (Update.m_confirm && m_sequence > Held)
+    m_confirmAt = Now;
   return Change;
 }
 
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -74,7 +74,7 @@
   /// each target; they are reported to the source only.
   std::vector<OutgoingRequest> tick(Instant Now,
                                     std::vector<TargetUse> Uses = {});
-  Instant nextTick() const { return m_nextRequest; }
+  Instant nextTick() const { return std::min(m_nextRequest, m_confirmAt); }
   /// Makes a request due at once.
   void requestNow(Instant Now) { m_nextRequest = std::min(m_nextRequest, Now); }
   FeedChange receive(Instant Now, const FeedUpdate &Update);
@@ -145,6 +145,9 @@
   std::int64_t m_possibleEntries = 1;
   Instant m_possibleEntriesAt = absl::InfinitePast();
   Instant m_nextRequest = absl::InfinitePast();
+  /// When a request is due besides, as the source waits for what this node
+  /// holds.
+  Instant m_confirmAt = absl::InfiniteFuture();
   Instant m_lastResponse = absl::InfinitePast();
   Instant m_leaseUntil = absl::InfinitePast();
 };
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "turmericdyke/src/Base/Compression.h"
+#include "turmericdyke/src/Feed/FeedFollower.h"
 #include "turmericdyke/src/Feed/LimitRecords.h"
 
 namespace turmericdyke {
@@ -13,6 +14,9 @@
 
 /// Eight missed requests of an entry node; see `FeedFollowerOptions`.
 constexpr absl::Duration SubscriberTimeout = absl::Seconds(2);
+/// A node that asks for help asks its new source within one interval; until
+/// that request has arrived, only this coordinator knows what the node holds.
+constexpr absl::Duration VisitorTimeout = absl::Milliseconds(500);
 /// At most one routing document, the newest, is sent to a node in this time, so
 /// that rapid changes do not fill the leader's link. Nodes ask every 250 ms,
 /// which bounds the delay of the last change.
@@ -30,7 +34,8 @@
 
 void FeedPublisher::reset() { *this = FeedPublisher(); }
 
-void FeedPublisher::setTargets(absl::Span<const ServingTarget> Targets,
+void FeedPublisher::setTargets(Instant Now,
+                               absl::Span<const ServingTarget> Targets,
                                absl::Span<const TargetId> Closed) {
   std::set<TargetId> Present;
   std::uint64_t Next = m_sequence + 1;
@@ -49,32 +54,65 @@
     if (Present.count(Id) == 0)
       Ended.push_back(Id);
   for (const TargetId &Id : Ended)
-    removeTarget(Id, Next);
+    removeTarget(Id, {Next, Now});
   for (const TargetId &Id : Closed)
-    if (Present.count(Id) == 0 && m_removed.try_emplace(Id, Next).second)
+    if (Present.count(Id) == 0 &&
+        m_removed.try_emplace(Id, Removal{Next, Now}).second)
       Changed = true;
   if (Changed || !Ended.empty())
     m_sequence = Next;
   limitRemovals();
 }
 
-void FeedPublisher::removeTarget(const TargetId &Id, std::uint64_t Sequence) {
+void FeedPublisher::removeTarget(const TargetId &Id, Removal Value) {
   m_targets.erase(Id);
-  m_removed[Id] = Sequence;
+  m_removed[Id] = Value;
+}
+
+void FeedPublisher::requestConfirmation(const TargetId &Id) {
+  auto Found = m_removed.find(Id);
+  if (Found != m_removed.end())
+    m_confirmUpTo = std::max(m_confirmUpTo, Found->second.m_sequence);
+}
+
+bool FeedPublisher::isOutOfUse(Instant Now, const TargetId &Id) const {
+  auto Found = m_removed.find(Id);
+  if (Found == m_removed.end())
+    return false;
+  // Every response since has held the removal, and without a response a node
+  // serves for the time of its lease.
+  return Now - Found->second.m_at >= FeedFollowerOptions().m_lease ||
+         delivered(Now) >= Found->second.m_sequence;
+}
+
+std::uint64_t FeedPublisher::delivered(Instant Now) const {
+  std::uint64_t Lowest = m_sequence;
+  for (const auto &[Node, Value] : m_confirmations)
+    if (Now < Value.m_until)
+      Lowest = std::min(Lowest, Value.m_sequence);
+  return Lowest;
+}
+
+std::vector<NodeId> FeedPublisher::unconfirmed(Instant Now) const {
+  std::vector<NodeId> Nodes;
+  for (const auto &[Node, Value] : m_confirmations)
+    if (Now < Value.m_until && Value.m_sequence < m_sequence)
+      Nodes.push_back(Node);
+  return Nodes;
 }
 
 void FeedPublisher::limitRemovals() {
   if (m_removed.size() <= internal::MaxRemovals)
     return;
   std::vector<std::uint64_t> Sequences;
-  for (const auto &[Id, Sequence] : m_removed)
-    Sequences.push_back(Sequence);
+  for (const auto &[Id, Value] : m_removed)
+    Sequences.push_back(Value.m_sequence);
   auto Middle =
       Sequences.begin() + static_cast<std::ptrdiff_t>(Sequences.size() / 2);
   std::nth_element(Sequences.begin(), Middle, Sequences.end());
   m_completeSince = std::max(m_completeSince, *Middle);
   std::erase_if(m_removed, [this](const auto &Entry) {
-    return Entry.second <= m_completeSince;
+    return Entry.second.m_sequence <= m_completeSince;
   });
 }
 
@@ -89,17 +127,23 @@
     m_removed.clear();
     m_completeSince = Update.m_sequence;
   }
-  if (NewTerm)
+  if (NewTerm) {
+    m_confirmUpTo = 0;
     for (auto &[Node, State] : m_subscribers)
       State.m_sequence = 0;
+    for (auto &[Node, Value] : m_confirmations)
+      Value.m_sequence = 0;
+  }
   m_mirroredTerm = Update.m_term;
   for (const ServingTarget &Target : Update.m_targets) {
     m_targets[Target.m_id] = {Target, Update.m_sequence};
     m_removed.erase(Target.m_id);
   }
   for (const TargetId &Id : Update.m_removed)
-    removeTarget(Id, Update.m_sequence);
+    removeTarget(Id, {Update.m_sequence});
   m_sequence = Update.m_sequence;
+  if (Update.m_confirm)
+    m_confirmUpTo = m_sequence;
   limitRemovals();
   return true;
 }
@@ -131,6 +175,9 @@
     if (IsSilent(Entry))
       setUses(Entry.second, {});
   std::erase_if(m_subscribers, IsSilent);
+  std::erase_if(m_confirmations, [Now](const auto &Entry) {
+    return Now >= Entry.second.m_until;
+  });
 }
 
 std::int64_t FeedPublisher::entryNodes(Instant Now) const {
@@ -187,8 +234,8 @@
       Update.m_targets.push_back(Entry.m_target);
   // A node that holds nothing of this term may hold the targets of an earlier
   // one.
-  for (const auto &[Id, Sequence] : m_removed)
-    if (Sequence > From)
+  for (const auto &[Id, Value] : m_removed)
+    if (Value.m_sequence > From)
       Update.m_removed.push_back(Id);
 }
 
@@ -222,6 +269,7 @@
                                 Context.m_leader, Context.m_coordinators,
                                 Context.m_domains);
   fillTargets(State, Update);
+  Update.m_confirm = m_confirmations[To].m_sequence < m_confirmUpTo;
   Update.m_routingVersion = Context.m_routingVersion;
   if (documentDue(Now, State, Context)) {
     Update.m_routingDocument = compressedDocument(Context);
@@ -264,7 +312,13 @@
   State.m_limitsVersion = Request.m_limitsVersion;
   // The sequence numbers of a node that follows another term are meaningless in
   // this one.
-  State.m_sequence = Request.m_term == Context.m_term ? Request.m_sequence : 0;
+  bool SameTerm = Request.m_term == Context.m_term;
+  State.m_sequence = SameTerm ? Request.m_sequence : 0;
+  m_confirmations[Request.m_node] = {
+      std::min(State.m_sequence,
+               Request.m_relay ? Request.m_delivered : Request.m_sequence),
+      Now + (Request.m_follows ? internal::SubscriberTimeout
+                               : internal::VisitorTimeout)};
   if (Request.m_follows)
     setUses(State, Request.m_uses);
   m_trafficSeen = m_trafficSeen || Request.m_modelRequests > 0;
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.h
@@ -64,9 +64,22 @@
   /// changed. Targets of `Closed` may be in use since an earlier term: entry
   /// nodes are told at once that these have ended, and not only when this
   /// leader knows all targets.
-  void setTargets(absl::Span<const ServingTarget> Targets,
+  void setTargets(Instant Now, absl::Span<const ServingTarget> Targets,
                   absl::Span<const TargetId> Closed = {});
 
+  /// Asks the nodes that have not confirmed the removal of the target to do so
+  /// at once. Without effect while the target is listed.
+  void requestConfirmation(const TargetId &Id);
+  /// Whether no entry node uses the target for new requests any more: its
+  /// removal is published, and each node has confirmed that it holds it, has
+  /// fallen silent, or has had no newer state for as long as it may serve
+  /// without.
+  bool isOutOfUse(Instant Now, const TargetId &Id) const;
+  /// Number of the newest change that all nodes heard from lately hold.
+  std::uint64_t delivered(Instant Now) const;
+  /// The nodes that hold an older state than the newest, for logs.
+  std::vector<NodeId> unconfirmed(Instant Now) const;
+
   /// Takes over the targets of an update from the leader. Returns whether
   /// anything changed. An update that does not continue the held state is
   /// ignored.
@@ -116,6 +129,17 @@
     ServingTarget m_target;
     std::uint64_t m_sequence = 0;
   };
+  /// The newest change that a node has stated to hold, with its relayed nodes.
+  struct Confirmation {
+    std::uint64_t m_sequence = 0;
+    /// When the node counts as silent.
+    Instant m_until;
+  };
+  struct Removal {
+    std::uint64_t m_sequence = 0;
+    /// When it was published; of no use to a relay.
+    Instant m_at = absl::InfinitePast();
+  };
 
   void fillUpdate(Instant Now, const NodeId &To, Subscriber &State,
                   const FeedContext &Context, FeedUpdate &Update);
@@ -131,7 +155,7 @@
   void setUses(Subscriber &State, std::vector<TargetUse> Uses);
   void addUses(const std::vector<TargetUse> &Uses, std::int64_t Sign);
   void removeSilent(Instant Now);
-  void removeTarget(const TargetId &Id, std::uint64_t Sequence);
+  void removeTarget(const TargetId &Id, Removal Value);
   /// Forgets old removals. Nodes that hold an older state get all targets.
   void limitRemovals();
 
@@ -141,8 +165,13 @@
   std::uint64_t m_completeSince = 0;
   std::uint64_t m_mirroredTerm = 0;
   std::map<TargetId, Published> m_targets;
-  std::map<TargetId, std::uint64_t> m_removed;
+  std::map<TargetId, Removal> m_removed;
+  /// Nodes are asked to confirm at once up to this change.
+  std::uint64_t m_confirmUpTo = 0;
   std::map<NodeId, Subscriber> m_subscribers;
+  /// Of all nodes that were sent targets, also of those that do not follow this
+  /// coordinator yet.
+  std::map<NodeId, Confirmation> m_confirmations;
   std::map<TargetId, std::int64_t> m_uses;
   std::string m_encodedUses;
   Instant m_usesEncodedAt = absl::InfinitePast();
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmericdyke/src/Feed/FeedAssignment.h"
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 
 namespace turmericdyke {
@@ -42,6 +43,11 @@
   Request.m_sentAtMicros = absl::ToUnixMicros(Now);
   Request.m_term = m_term;
   Request.m_sequence = m_term == 0 ? 0 : Publisher.sequence();
+  // If relays serve entry nodes, those of an earlier start of this one may hold
+  // older targets and have not asked again yet.
+  if (m_entries <= MaxEntryNodesOfLeader ||
+      Now - m_began >= m_options.m_entryReturnTime)
+    Request.m_delivered = Publisher.delivered(Now);
   Request.m_modelRequests = std::exchange(m_modelRequests, 0);
   Request.m_arrivals = m_arrivals.take();
   Request.m_suspects = std::exchange(m_suspects, {});
@@ -89,6 +95,7 @@
   if (Update.m_term > m_term)
     m_confirmed = absl::InfinitePast();
   m_term = Update.m_term;
+  m_began = std::min(m_began, Now);
   m_leader = Update.m_leader;
   m_coordinators = Update.m_coordinators;
   m_entries = Update.m_entries;
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.h
@@ -20,6 +20,9 @@
   absl::Duration m_interval = absl::Milliseconds(50);
   /// Knowledge older than this is not passed on.
   absl::Duration m_maxAge = absl::Milliseconds(700);
+  /// How long entry nodes take to return to a relay that has started again: the
+  /// time after which they ask other coordinators, and one more request.
+  absl::Duration m_entryReturnTime = absl::Seconds(1);
 };
 
 /// The relaying side of a coordinator that does not lead: follows the leader's
@@ -58,6 +61,8 @@
   FeedRelayOptions m_options;
   Instant m_nextRequest = absl::InfinitePast();
   std::uint64_t m_term = 0;
+  /// When the first state was received.
+  Instant m_began = absl::InfiniteFuture();
   NodeId m_leader;
   bool m_complete = false;
   std::vector<NodeId> m_coordinators;
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.cpp
@@ -355,6 +355,8 @@
       {"suspects", internal::listJson(Message.m_suspects)},
       {"progressing", internal::listJson(Message.m_progressing)},
       {"stopping", Message.m_stopping}};
+  if (Message.m_relay)
+    Object["delivered"] = Message.m_delivered;
   // Rarely set, and sent four times a second by each entry node.
   if (Message.m_suspectsVersion != 0)
     Object["suspect_keys_version"] = Message.m_suspectsVersion;
@@ -393,6 +395,8 @@
       {"entries", Message.m_entries},
       {"routing", Message.m_routingVersion},
       {"document", internal::binaryJson(Message.m_routingDocument)}};
+  if (Message.m_confirm)
+    Object["confirm"] = true;
   if (Message.m_suspects)
     Object["suspect_keys"] = {
         {"version", Message.m_suspects->m_version},
@@ -444,6 +448,8 @@
       .text("relay_address", Read.m_relayAddress)
       .number("peers_version", Read.m_peersVersion)
       .flag("stopping", Read.m_stopping);
+  Read.m_delivered = Read.m_sequence;
+  Reader.number("delivered", Read.m_delivered);
   internal::readList(Reader, "uses", Read.m_uses);
   internal::readList(Reader, "suspects", Read.m_suspects);
   internal::readList(Reader, "progressing", Read.m_progressing);
@@ -469,6 +475,7 @@
       .number("from", Read.m_from)
       .number("sequence", Read.m_sequence)
       .flag("complete", Read.m_complete)
+      .flag("confirm", Read.m_confirm)
       .number("entries", Read.m_entries)
       .number("offered_version", Read.m_offeredVersion)
       .number("routing", Read.m_routingVersion);
--- a/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
+++ b/packages/fleet/turmericdyke/src/Fleet/FeedMessage.h
@@ -88,6 +88,9 @@
   /// Term and sequence of the newest update it holds.
   std::uint64_t m_term = 0;
   std::uint64_t m_sequence = 0;
+  /// Sequence that the entry nodes of a relay hold as well. Relays of earlier
+  /// versions state none and count with their own.
+  std::uint64_t m_delivered = 0;
   std::uint64_t m_routingVersion = 0;
   std::vector<TargetUse> m_uses;
   /// Requests for models since its last report.
@@ -146,6 +149,9 @@
   /// The leader knows all live servers: a server that it does not list has
   /// ended.
   bool m_complete = false;
+  /// The sender waits until the receiver holds this update: the next request is
+  /// due at once. Earlier versions send it after their usual interval.
+  bool m_confirm = false;
   std::vector<ServingTarget> m_targets;
   /// Targets of a received message that were left out because they are
   /// malformed. Not sent.
