Look at waits for entry nodes on a timer

With hundreds of servers leaving at once, looking at all of them at each request of an entry node takes a leader time, as all nodes confirm within milliseconds. By reading; the cost was not measured. Unconfirmed nodes are listed only when a server was refused. DrainedServerTest and WithdrawnServerTest: 10 of 10 cases.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorDepartures.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorDepartures.cpp
@@ -23,9 +23,9 @@
 constexpr std::ptrdiff_t MaxDeparturesPerCommand = 1024;
 /// A server waits a second for the answer.
 constexpr absl::Duration MaxDeliveryWait = absl::Milliseconds(700);
-/// Interval at which the waits for entry nodes are looked at, besides each
-/// request of such a node.
-constexpr absl::Duration DeliveryCheckInterval = absl::Milliseconds(25);
+/// Interval at which the waits for entry nodes are looked at. A look at each
+/// request of such a node would cost more, as many confirm at the same time.
+constexpr absl::Duration DeliveryCheckInterval = absl::Milliseconds(10);
 /// How long entry nodes take to find a new leader: the time after which they
 /// ask other coordinators, and one more request.
 constexpr absl::Duration EntryReturnTime = absl::Seconds(1);
@@ -181,13 +181,15 @@
                        503, "entry nodes may still use the server"));
   }
   m_recordedDepartures = std::move(Waiting);
-  if (Acknowledged + Refused > 0)
-    LogLine(LogLevel::Info, "departures_answered")
-        .field("acknowledged", Acknowledged)
+  if (Acknowledged + Refused > 0) {
+    LogLine Line(LogLevel::Info, "departures_answered");
+    Line.field("acknowledged", Acknowledged)
         .field("refused", Refused)
-        .field("unconfirmed", absl::StrJoin(m_feed.unconfirmed(Now), ",",
-                                            internal::appendNode))
         .field("ms", absl::ToInt64Milliseconds(Now - Received));
+    if (Refused > 0)
+      Line.field("unconfirmed", absl::StrJoin(m_feed.unconfirmed(Now), ",",
+                                              internal::appendNode));
+  }
   m_loop.cancel(m_deliveryTimer);
   m_deliveryTimer = EventLoop::Timer{};
   if (!m_recordedDepartures.empty())
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -144,7 +144,6 @@
   // A lost response is requested again.
   (void)m_transport->sendTo(Message.m_fromAddress, PeerMessageKind::FeedUpdate,
                             encode(Update));
-  answerDepartures();
 }
 
 void CoordinatorNode::onCrashReports(const FeedRequest &Request) {
