Bound the requests of entry nodes that confirm what they hold

A node asks at once when its source changes. Coordinators that know of different members may name each other as the source; the node then asked without pause, once in each round trip. Such requests now keep 50 ms from each other.

feed_test RemovalDeliveryTest: two coordinators that name each other, answers after 2 ms.

--- a/packages/feed/test/RemovalDeliveryTest.cpp
+++ b/packages/feed/test/RemovalDeliveryTest.cpp
@@ -140,7 +140,7 @@
   FeedPublisher Publisher;
   Publisher.setTargets(Start, Before);
   FeedFollower Follower = joined("entry", Start, Publisher, leaderContext());
-  Instant Now = Start + absl::Milliseconds(10);
+  Instant Now = Start + Interval / 2;
   Publisher.setTargets(Now, After);
   Publisher.requestConfirmation(Leaving);
   std::map<NodeId, FeedUpdate> Updates =
@@ -154,6 +154,30 @@
   CHECK(Follower.nextTick() > Now);
 }
 
+// Guards against requests without pause while the members that coordinators
+// know of differ.
+TEST_CASE(
+    "an entry node whose sources name each other asks at a bounded rate") {
+  FeedFollower Follower = follower("entry");
+  std::size_t Requests = 0;
+  Instant Now = Start;
+  for (; Now < Start + absl::Seconds(1); Now += absl::Milliseconds(2)) {
+    std::vector<FeedFollower::OutgoingRequest> Due = Follower.tick(Now);
+    Requests += Due.size();
+    if (Due.empty())
+      continue;
+    FeedUpdate Answer;
+    Answer.m_term = 1;
+    Answer.m_leads = true;
+    Answer.m_leader = NodeId("leader");
+    Answer.m_source = NodeId(
+        Due.front().m_coordinator == NodeId("leader") ? "relay" : "leader");
+    Follower.receive(Now, Answer);
+  }
+  // Four usual requests, and one in each pause.
+  CHECK(Requests <= 4 + 20 + 1);
+}
+
 TEST_CASE("an entry node that has fallen silent does not hold up a departure, "
           "but one that returns does") {
   FeedPublisher Publisher;
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.cpp
@@ -46,7 +46,13 @@
   m_source = Source;
   m_sourceSince = Now;
   // The source must know soon what this node holds.
-  m_confirmAt = Now;
+  confirmSoon(Now);
+}
+
+void FeedFollower::confirmSoon(Instant Now) {
+  // Coordinators may name each other as the source while they know of
+  // different members.
+  m_confirmAt = std::max(Now, m_lastConfirmed + m_options.m_confirmPause);
 }
 
 std::vector<FeedFollower::OutgoingRequest>
@@ -54,7 +60,10 @@
   std::vector<OutgoingRequest> Due;
   if (Now < nextTick())
     return Due;
-  m_confirmAt = absl::InfiniteFuture();
+  if (Now >= m_confirmAt) {
+    m_confirmAt = absl::InfiniteFuture();
+    m_lastConfirmed = Now;
+  }
   if (Now >= m_nextRequest)
     m_nextRequest = Now + m_options.m_interval;
   if (m_source != m_leader && !sourceResponds(Now)) {
@@ -147,7 +156,7 @@
   if (Update.m_from <= m_sequence)
     applyTargets(Update, Change);
   if (Update.m_confirm && m_sequence > Held)
-    m_confirmAt = Now;
+    confirmSoon(Now);
   return Change;
 }
 
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -16,6 +16,8 @@
   /// Interval between requests to the source of the feed. Knowledge of the
   /// other entry nodes' load is at most this old.
   absl::Duration m_interval = absl::Milliseconds(250);
+  /// Shortest time between two requests that only confirm what is held.
+  absl::Duration m_confirmPause = absl::Milliseconds(50);
   /// After this time without a response, another coordinator is asked as well.
   absl::Duration m_responseTimeout = absl::Milliseconds(700);
   /// A source that did not respond is not used again for this long.
@@ -110,6 +112,9 @@
 private:
   bool sourceResponds(Instant Now) const;
   void setSource(Instant Now, const NodeId &Source);
+  /// Makes a request due besides the usual ones, but not within
+  /// `m_confirmPause` of the last such request.
+  void confirmSoon(Instant Now);
   void followHint(Instant Now, const FeedUpdate &Update, FeedChange &Change);
   void applyTargets(const FeedUpdate &Update, FeedChange &Change);
   void applyUses(Instant Now, const FeedUpdate &Update);
@@ -148,6 +153,7 @@
   /// When a request is due besides, as the source waits for what this node
   /// holds.
   Instant m_confirmAt = absl::InfiniteFuture();
+  Instant m_lastConfirmed = absl::InfinitePast();
   Instant m_lastResponse = absl::InfinitePast();
   Instant m_leaseUntil = absl::InfinitePast();
 };
