Share the context, targets and requests of the feed's tests

FeedTest, ClosedTargetsTest and RemovalDeliveryTest each made the same leader's context, target and request. They use FeedFixture.h now.

--- a/packages/feed/test/ClosedTargetsTest.cpp
+++ b/packages/feed/test/ClosedTargetsTest.cpp
@@ -3,45 +3,10 @@
 
 #include <doctest/doctest.h>
 
-#include "turmericdyke/Feed"
+#include "FeedFixture.h"
 
 using namespace turmericdyke;
 
-namespace {
-
-const Instant Start = absl::UnixEpoch() + absl::Hours(1);
-const std::string Document = "{}";
-
-FeedContext context(std::uint64_t Term, bool Complete) {
-  FeedContext Value;
-  Value.m_term = Term;
-  Value.m_leader = NodeId("leader");
-  Value.m_leads = true;
-  Value.m_complete = Complete;
-  Value.m_routingVersion = 7;
-  Value.m_routingDocument = &Document;
-  return Value;
-}
-
-ServingTarget target(const std::string &Id) {
-  ServingTarget Value;
-  Value.m_id = TargetId(Id);
-  Value.m_service = ServiceId("llm");
-  Value.m_address = "10.0.0.1:80";
-  Value.m_generation = 1;
-  return Value;
-}
-
-FeedChange ask(FeedFollower &Follower, Instant Now, FeedPublisher &Publisher,
-               const FeedContext &Context) {
-  std::vector<FeedFollower::OutgoingRequest> Due = Follower.tick(Now);
-  REQUIRE_FALSE(Due.empty());
-  return Follower.receive(
-      Now, Publisher.respond(Now, Due.front().m_request, Context));
-}
-
-} // namespace
-
 // Guards against requests at servers of an evacuated failure domain after a
 // change of the leader: a new leader knows within a second that they are
 // closed, but may need seconds until its list is complete.
--- a/packages/feed/test/FeedTest.cpp
+++ b/packages/feed/test/FeedTest.cpp
@@ -4,43 +4,10 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "turmericdyke/Feed"
+#include "FeedFixture.h"
 
 using namespace turmericdyke;
 
-namespace {
-
-const Instant Start = absl::UnixEpoch() + absl::Hours(1);
-const std::string Document = "routes";
-
-FeedContext context(std::uint64_t Term, bool Complete = true) {
-  FeedContext Value;
-  Value.m_term = Term;
-  Value.m_leader = NodeId("leader");
-  Value.m_leads = true;
-  Value.m_complete = Complete;
-  Value.m_routingVersion = 7;
-  Value.m_routingDocument = &Document;
-  return Value;
-}
-
-ServingTarget target(const std::string &Id, std::uint64_t Generation = 1) {
-  ServingTarget Value;
-  Value.m_id = TargetId(Id);
-  Value.m_service = ServiceId("llm");
-  Value.m_address = "10.0.0.1:80";
-  Value.m_generation = Generation;
-  return Value;
-}
-
-FeedRequest dueRequest(FeedFollower &Follower, Instant Now) {
-  std::vector<FeedFollower::OutgoingRequest> Due = Follower.tick(Now);
-  REQUIRE_FALSE(Due.empty());
-  return Due.front().m_request;
-}
-
-} // namespace
-
 // Guards against a node that uses ended targets or lacks new ones: after any
 // changes and any lost updates, one response brings the follower to the
 // leader's list.
--- a/packages/feed/test/RemovalDeliveryTest.cpp
+++ b/packages/feed/test/RemovalDeliveryTest.cpp
@@ -1,61 +1,28 @@
+#include <map>
 #include <string>
 #include <vector>
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
-#include "turmericdyke/Feed"
+#include "FeedFixture.h"
 
 using namespace turmericdyke;
 
 namespace {
 
-const Instant Start = absl::UnixEpoch() + absl::Hours(1);
-const std::string Document = "{}";
 constexpr absl::Duration Interval = absl::Milliseconds(250);
 /// Longer than a node that is heard from is silent.
 constexpr absl::Duration Silence = absl::Milliseconds(2100);
 
-ServingTarget target(const std::string &Id) {
-  ServingTarget Value;
-  Value.m_id = TargetId(Id);
-  Value.m_service = ServiceId("llm");
-  Value.m_address = "10.0.0.1:80";
-  Value.m_generation = 1;
-  return Value;
-}
-
 const TargetId Leaving("a");
 const std::vector<ServingTarget> Before = {target("a"), target("b")};
 const std::vector<ServingTarget> After = {target("b")};
 
-FeedContext leaderContext(std::uint64_t Term = 1) {
-  FeedContext Value;
-  Value.m_term = Term;
-  Value.m_leader = NodeId("leader");
-  Value.m_leads = true;
-  Value.m_complete = true;
-  Value.m_routingVersion = 7;
-  Value.m_routingDocument = &Document;
-  return Value;
-}
-
 FeedFollower follower(const std::string &Name) {
   return FeedFollower(NodeId(Name), {NodeId("leader")});
 }
 
-FeedRequest dueRequest(FeedFollower &Follower, Instant Now) {
-  std::vector<FeedFollower::OutgoingRequest> Due = Follower.tick(Now);
-  REQUIRE_FALSE(Due.empty());
-  return Due.front().m_request;
-}
-
-void ask(FeedFollower &Follower, Instant Now, FeedPublisher &Publisher,
-         const FeedContext &Context) {
-  Follower.receive(Now,
-                   Publisher.respond(Now, dueRequest(Follower, Now), Context));
-}
-
 /// A node that follows the leader and holds its newest state.
 FeedFollower joined(const std::string &Name, Instant Now,
                     FeedPublisher &Publisher, const FeedContext &Context) {
@@ -78,8 +45,7 @@
 
   void relay(Instant Now) {
     m_relay.receive(
-        Now,
-        m_leader.respond(Now, m_relay.request(Now, m_mirror), leaderContext()),
+        Now, m_leader.respond(Now, m_relay.request(Now, m_mirror), context()),
         m_mirror);
   }
   void askRelay(Instant Now) {
@@ -101,19 +67,19 @@
   FeedPublisher Publisher;
   Instant Now = Start;
   Publisher.setTargets(Now, Before);
-  FeedFollower A = joined("entry-a", Now, Publisher, leaderContext());
-  FeedFollower B = joined("entry-b", Now, Publisher, leaderContext());
+  FeedFollower A = joined("entry-a", Now, Publisher, context());
+  FeedFollower B = joined("entry-b", Now, Publisher, context());
   CHECK_FALSE(Publisher.isOutOfUse(Now, Leaving));
   Publisher.setTargets(Now, After);
   CHECK_FALSE(Publisher.isOutOfUse(Now, Leaving));
   for (FeedFollower *Node : {&A, &B}) {
     // The response may be lost; only the next request shows that it was not.
     Now += Interval;
-    ask(*Node, Now, Publisher, leaderContext());
+    ask(*Node, Now, Publisher, context());
     CHECK_FALSE(lists(*Node));
     CHECK_FALSE(Publisher.isOutOfUse(Now, Leaving));
     Now += Interval;
-    ask(*Node, Now, Publisher, leaderContext());
+    ask(*Node, Now, Publisher, context());
   }
   CHECK(Publisher.isOutOfUse(Now, Leaving));
   // A next life of the server is in use again.
@@ -125,12 +91,12 @@
           "confirmed") {
   FeedPublisher Publisher;
   Publisher.setTargets(Start, After);
-  FeedFollower Follower = joined("entry", Start, Publisher, leaderContext());
+  FeedFollower Follower = joined("entry", Start, Publisher, context());
   CHECK_FALSE(Publisher.isOutOfUse(Start, Leaving));
   Publisher.setTargets(Start, After, {Leaving});
   for (Instant Now : {Start + Interval, Start + 2 * Interval}) {
     CHECK_FALSE(Publisher.isOutOfUse(Now, Leaving));
-    ask(Follower, Now, Publisher, leaderContext());
+    ask(Follower, Now, Publisher, context());
   }
   CHECK(Publisher.isOutOfUse(Start + 2 * Interval, Leaving));
 }
@@ -139,16 +105,16 @@
 TEST_CASE("an entry node confirms a removal at once when it is asked to") {
   FeedPublisher Publisher;
   Publisher.setTargets(Start, Before);
-  FeedFollower Follower = joined("entry", Start, Publisher, leaderContext());
+  FeedFollower Follower = joined("entry", Start, Publisher, context());
   Instant Now = Start + Interval / 2;
   Publisher.setTargets(Now, After);
   Publisher.requestConfirmation(Leaving);
   std::map<NodeId, FeedUpdate> Updates =
-      Publisher.pendingUpdates(Now, leaderContext());
+      Publisher.pendingUpdates(Now, context());
   REQUIRE(Updates.size() == 1);
   Follower.receive(Now, Updates.begin()->second);
   REQUIRE(Follower.nextTick() <= Now);
-  ask(Follower, Now, Publisher, leaderContext());
+  ask(Follower, Now, Publisher, context());
   CHECK(Publisher.isOutOfUse(Now, Leaving));
   // Nothing is left to be confirmed.
   CHECK(Follower.nextTick() > Now);
@@ -182,17 +148,17 @@
           "but one that returns does") {
   FeedPublisher Publisher;
   Publisher.setTargets(Start, Before);
-  FeedFollower Follower = joined("entry", Start, Publisher, leaderContext());
+  FeedFollower Follower = joined("entry", Start, Publisher, context());
   Publisher.setTargets(Start, After);
   CHECK_FALSE(Publisher.isOutOfUse(Start + Silence / 2, Leaving));
   Instant Now = Start + Silence;
   CHECK(Publisher.isOutOfUse(Now, Leaving));
   FeedRequest Returned = dueRequest(Follower, Now);
-  FeedUpdate Answer = Publisher.respond(Now, Returned, leaderContext());
+  FeedUpdate Answer = Publisher.respond(Now, Returned, context());
   CHECK_FALSE(Publisher.isOutOfUse(Now, Leaving));
   Follower.receive(Now, Answer);
   Now += Interval;
-  ask(Follower, Now, Publisher, leaderContext());
+  ask(Follower, Now, Publisher, context());
   CHECK(Publisher.isOutOfUse(Now, Leaving));
 }
 
@@ -202,7 +168,7 @@
   FeedPublisher Publisher;
   FeedFollower Follower = follower("entry");
   Publisher.setTargets(Start, Before);
-  ask(Follower, Start, Publisher, leaderContext());
+  ask(Follower, Start, Publisher, context());
   REQUIRE(lists(Follower));
   Publisher.setTargets(Start, After);
   CHECK_FALSE(Publisher.isOutOfUse(Start, Leaving));
@@ -214,12 +180,12 @@
           "lease ends") {
   FeedPublisher Publisher;
   Publisher.setTargets(Start, Before);
-  FeedFollower Follower = joined("entry", Start, Publisher, leaderContext());
+  FeedFollower Follower = joined("entry", Start, Publisher, context());
   Publisher.setTargets(Start, After);
   Instant Now = Start + Interval;
   for (; Now < Follower.leaseUntil(); Now += Interval) {
     CHECK_FALSE(Publisher.isOutOfUse(Now, Leaving));
-    (void)Publisher.respond(Now, dueRequest(Follower, Now), leaderContext());
+    (void)Publisher.respond(Now, dueRequest(Follower, Now), context());
   }
   CHECK(lists(Follower));
   CHECK(Publisher.isOutOfUse(Now, Leaving));
@@ -230,12 +196,12 @@
   FeedPublisher Publisher;
   for (int Change = 0; Change < 5; ++Change)
     Old.setTargets(Start, Change % 2 == 0 ? Before : After);
-  FeedFollower Follower = joined("entry", Start, Old, leaderContext(1));
+  FeedFollower Follower = joined("entry", Start, Old, context(1));
   Publisher.setTargets(Start, {}, {Leaving});
   for (Instant Now : {Start + Interval, Start + 2 * Interval}) {
     FeedRequest Request = dueRequest(Follower, Now);
     bool Held = Request.m_term == 2;
-    FeedUpdate Answer = Publisher.respond(Now, Request, leaderContext(2));
+    FeedUpdate Answer = Publisher.respond(Now, Request, context(2));
     CHECK(Publisher.isOutOfUse(Now, Leaving) == Held);
     Follower.receive(Now, Answer);
   }
@@ -278,7 +244,7 @@
     Request.m_node = NodeId("entry-" + std::to_string(Node));
     Request.m_term = 1;
     Request.m_sequence = Feed.m_leader.sequence();
-    (void)Feed.m_leader.respond(Start, Request, leaderContext());
+    (void)Feed.m_leader.respond(Start, Request, context());
   }
   Instant Now = Start;
   for (; Now < Start + absl::Seconds(1); Now += Interval) {
