State once how long entry nodes take to return, and join names as elsewhere

The leader and a relay each had a constant for the time in which entry nodes find them; a relay's option for it was never set. Names of nodes are joined with absl::StreamFormatter in place of a function and its twin, a lambda in CoordinatorFeed. What a node has confirmed follows from the sequence that was already worked out for its term. Behaviour is unchanged.

--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorDepartures.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorDepartures.cpp
@@ -9,6 +9,7 @@
 #include "absl/time/clock.h"
 #include "turmericdyke/src/Base/LogLine.h"
 #include "turmericdyke/src/Coordinator/DepartureRecords.h"
+#include "turmericdyke/src/Feed/FeedFollower.h"
 #include "turmericdyke/src/Http/ServerExchange.h"
 
 namespace turmericdyke {
@@ -26,17 +27,10 @@
 /// Interval at which the waits for entry nodes are looked at. A look at each
 /// request of such a node would cost more, as many confirm at the same time.
 constexpr absl::Duration DeliveryCheckInterval = absl::Milliseconds(10);
-/// How long entry nodes take to find a new leader: the time after which they
-/// ask other coordinators, and one more request.
-constexpr absl::Duration EntryReturnTime = absl::Seconds(1);
 /// Entry nodes that have not heard from a leader for longer hold no targets
 /// that they may use. Log time advances every 10 s.
 constexpr absl::Duration RecentDeparture = absl::Minutes(1);
 
-void appendNode(std::string *Out, const NodeId &Node) {
-  Out->append(Node.str());
-}
-
 } // namespace
 } // namespace internal
 
@@ -137,7 +131,7 @@
       .field("servers", Batch.size())
       .field("committed", Committed)
       .field("index", Done.m_index)
-      .field("voters", absl::StrJoin(Holders, ",", internal::appendNode))
+      .field("voters", absl::StrJoin(Holders, ",", absl::StreamFormatter()))
       .field("ms", absl::ToInt64Milliseconds(monotonicNow() -
                                              Batch.front().m_received));
   if (Committed) {
@@ -155,7 +149,7 @@
     return false;
   // The first leader ever has no predecessor whose targets are in use.
   bool EntriesReturned =
-      m_fencingToken == 1 || Now - m_leaderSince >= internal::EntryReturnTime;
+      m_fencingToken == 1 || Now - m_leaderSince >= EntryReturnTime;
   return EntriesReturned && m_feed.isOutOfUse(Now, Id);
 }
 
@@ -188,7 +182,7 @@
         .field("ms", absl::ToInt64Milliseconds(Now - Received));
     if (Refused > 0)
       Line.field("unconfirmed", absl::StrJoin(m_feed.unconfirmed(Now), ",",
-                                              internal::appendNode));
+                                              absl::StreamFormatter()));
   }
   m_loop.cancel(m_deliveryTimer);
   m_deliveryTimer = EventLoop::Timer{};
@@ -216,8 +210,9 @@
   std::vector<PendingDeparture> Waiting = std::exchange(m_departures, {});
   for (const auto &[Ticket, Batch] : std::exchange(m_submittedDepartures, {}))
     Waiting.insert(Waiting.end(), Batch.begin(), Batch.end());
-  for (PendingDeparture &Value : std::exchange(m_recordedDepartures, {}))
-    Waiting.push_back(std::move(Value));
+  Waiting.insert(Waiting.end(), m_recordedDepartures.begin(),
+                 m_recordedDepartures.end());
+  m_recordedDepartures.clear();
   for (const PendingDeparture &Value : Waiting)
     Value.m_exchange->respond(m_protocol.errorResponse(503, Reason));
 }
--- a/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
+++ b/packages/coordinator/turmericdyke/src/Coordinator/CoordinatorFeed.cpp
@@ -305,16 +305,15 @@
     absl::StrAppend(Out, Node.str(), ":",
                     absl::ToInt64Milliseconds(m_roster.silence(Now, Node)));
   };
-  auto Name = [](std::string *Out, const NodeId &Node) {
-    Out->append(Node.str());
-  };
   LogLine(LogLevel::Info, "voters_wanted")
       .field("node", m_settings.m_name)
       .field("term", m_core->raft().term())
-      .field("wanted", absl::StrJoin(Plan.m_wanted, ",", Name))
+      .field("wanted",
+             absl::StrJoin(Plan.m_wanted, ",", absl::StreamFormatter()))
       .field("voters_silent_ms",
              absl::StrJoin(Plan.m_voters, ",", NameAndSilence))
-      .field("live", absl::StrJoin(m_roster.live(Now), ",", Name));
+      .field("live",
+             absl::StrJoin(m_roster.live(Now), ",", absl::StreamFormatter()));
 }
 
 void CoordinatorNode::sendDirectory(const NodeId &Node) {
--- a/packages/feed/turmericdyke/src/Feed/FeedFollower.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedFollower.h
@@ -12,6 +12,11 @@
 
 namespace turmericdyke {
 
+/// How long entry nodes take to find a new leader, or a relay that has started
+/// again: the time after which they ask other coordinators, one more request,
+/// and a margin.
+inline constexpr absl::Duration EntryReturnTime = absl::Seconds(1);
+
 struct FeedFollowerOptions {
   /// Interval between requests to the source of the feed. Knowledge of the
   /// other entry nodes' load is at most this old.
--- a/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedPublisher.cpp
@@ -312,11 +312,10 @@
   State.m_limitsVersion = Request.m_limitsVersion;
   // The sequence numbers of a node that follows another term are meaningless in
   // this one.
-  bool SameTerm = Request.m_term == Context.m_term;
-  State.m_sequence = SameTerm ? Request.m_sequence : 0;
+  State.m_sequence = Request.m_term == Context.m_term ? Request.m_sequence : 0;
   m_confirmations[Request.m_node] = {
-      std::min(State.m_sequence,
-               Request.m_relay ? Request.m_delivered : Request.m_sequence),
+      Request.m_relay ? std::min(State.m_sequence, Request.m_delivered)
+                      : State.m_sequence,
       Now + (Request.m_follows ? internal::SubscriberTimeout
                                : internal::VisitorTimeout)};
   if (Request.m_follows)
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "turmericdyke/src/Feed/FeedAssignment.h"
+#include "turmericdyke/src/Feed/FeedFollower.h"
 #include "turmericdyke/src/Feed/FeedPublisher.h"
 
 namespace turmericdyke {
@@ -45,8 +46,7 @@
   Request.m_sequence = m_term == 0 ? 0 : Publisher.sequence();
   // If relays serve entry nodes, those of an earlier start of this one may hold
   // older targets and have not asked again yet.
-  if (m_entries <= MaxEntryNodesOfLeader ||
-      Now - m_began >= m_options.m_entryReturnTime)
+  if (m_entries <= MaxEntryNodesOfLeader || Now - m_began >= EntryReturnTime)
     Request.m_delivered = Publisher.delivered(Now);
   Request.m_modelRequests = std::exchange(m_modelRequests, 0);
   Request.m_arrivals = m_arrivals.take();
--- a/packages/feed/turmericdyke/src/Feed/FeedRelay.h
+++ b/packages/feed/turmericdyke/src/Feed/FeedRelay.h
@@ -20,9 +20,6 @@
   absl::Duration m_interval = absl::Milliseconds(50);
   /// Knowledge older than this is not passed on.
   absl::Duration m_maxAge = absl::Milliseconds(700);
-  /// How long entry nodes take to return to a relay that has started again: the
-  /// time after which they ask other coordinators, and one more request.
-  absl::Duration m_entryReturnTime = absl::Seconds(1);
 };
 
 /// The relaying side of a coordinator that does not lead: follows the leader's
